--- /dev/null
+++ b/src/outcome/runstate.cpp
@@ -0,0 +1,41 @@
+// The one place that decides what a caller may be told.
+#include "outcome/runstate.h"
+
+#include <algorithm>
+
+namespace comfrey {
+
+RunState runStateAfter(AttemptEnd how)
+{
+    switch (how) {
+    case AttemptEnd::NotConnected:
+        return RunState::NotSent;
+    case AttemptEnd::RefusedUnstarted:
+        return RunState::RefusedUnstarted;
+    case AttemptEnd::Completed:
+        return RunState::Ran;
+    case AttemptEnd::BrokenBeforeAnswer:
+    case AttemptEnd::BrokenInAnswer:
+    case AttemptEnd::TimedOut:
+    case AttemptEnd::ForeignAnswer:
+    case AttemptEnd::Cancelled:
+        return RunState::MayHaveRun;
+    }
+    return RunState::MayHaveRun;
+}
+
+RunState combined(RunState left, RunState right)
+{
+    return std::max(left, right);
+}
+
+Outcome outcomeOf(RunState state, bool delivered)
+{
+    if (delivered)
+        return Outcome::Answered;
+    if (state <= RunState::RefusedUnstarted)
+        return Outcome::NotRun;
+    return Outcome::Unknown;
+}
+
+} // namespace comfrey
