--- a/tools/common/httpserver.h
+++ b/tools/common/httpserver.h
@@ -21,7 +21,7 @@
     std::chrono::seconds keepAlive = std::chrono::seconds(5); ///< Of an idle connection.
     std::chrono::milliseconds readTimeout = std::chrono::seconds(5);
     std::chrono::milliseconds writeTimeout = std::chrono::seconds(5);
-    std::size_t maxBodyBytes = 16 * 1024 * 1024; ///< Larger requests are answered with 413.
+    std::size_t maxBodyBytes = 16777216; ///< Larger requests are answered with 413.
 };
 
 class HttpServer
