Route chats: affinity by rendezvous hashing, retries that resume, one answer each

Cause: no part took a chat request. Change: ChatPart sends a chat to the engine that rendezvous hashing ranks first, retries on the next one from the tokens already delivered, cancels at the engine when the caller leaves, and gives up at once with a reason. Conclusion: the thin path; bounded load, shares and health come on top.

--- /dev/null
+++ b/tests/chatparttest.cpp
@@ -0,0 +1,89 @@
+// The life of a chat request: one answer each, retries, resumption, cancellation.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "support/chatbench.h"
+
+using namespace comfrey;
+using namespace comfrey::test;
+
+class ChatPartTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ChatPartTest);
+    CPPUNIT_TEST(unknownKeyIsRefusedNotRun);
+    CPPUNIT_TEST(completedAttemptIsAnsweredOnce);
+    CPPUNIT_TEST(brokenStreamResumesElsewhereAtDeliveredTokens);
+    CPPUNIT_TEST(callerThatLeftHasItsAttemptCancelled);
+    CPPUNIT_TEST(noEngineIsToldAtOnceWithRetryAfter);
+    CPPUNIT_TEST(engineThatNeverConnectsEndsAsNotRun);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void unknownKeyIsRefusedNotRun()
+    {
+        ChatBench bench(2);
+        bench.arrive("r1", "c1", "wrong key");
+        CPPUNIT_ASSERT(bench.answers("r1").size() == 1);
+        CPPUNIT_ASSERT(bench.answers("r1")[0].outcome == Outcome::NotRun);
+        CPPUNIT_ASSERT(bench.answers("r1")[0].error == CallerError::UnknownKey);
+    }
+
+    void completedAttemptIsAnsweredOnce()
+    {
+        ChatBench bench(2);
+        bench.arrive("r1", "c1");
+        const SendToBackend sent = bench.lastSent("r1");
+        bench.end(sent, AttemptEnd::Completed, 5);
+        bench.end(sent, AttemptEnd::Completed, 5);
+        CPPUNIT_ASSERT(bench.answers("r1").size() == 1);
+        CPPUNIT_ASSERT(bench.answers("r1")[0].outcome == Outcome::Answered);
+        CPPUNIT_ASSERT(bench.answers("r1")[0].attempt == sent.attempt);
+        CPPUNIT_ASSERT(bench.part.isIdle());
+    }
+
+    void brokenStreamResumesElsewhereAtDeliveredTokens()
+    {
+        ChatBench bench(3);
+        bench.arrive("r1", "c1");
+        const SendToBackend first = bench.lastSent("r1");
+        bench.progress(first, 1);
+        bench.end(first, AttemptEnd::BrokenInAnswer, 7);
+        const SendToBackend second = bench.lastSent("r1");
+        CPPUNIT_ASSERT(second.backend != first.backend);
+        CPPUNIT_ASSERT_EQUAL(Tokens(7), second.resumeAt);
+        bench.progress(second, 1);
+        bench.end(second, AttemptEnd::BrokenInAnswer, 4);
+        CPPUNIT_ASSERT_EQUAL(Tokens(11), bench.lastSent("r1").resumeAt);
+    }
+
+    void callerThatLeftHasItsAttemptCancelled()
+    {
+        ChatBench bench(2);
+        bench.arrive("r1", "c1");
+        bench.handle(CallerLeft{RequestId("r1")});
+        CPPUNIT_ASSERT(bench.cancelled(bench.lastSent("r1").attempt));
+        CPPUNIT_ASSERT(bench.answers("r1").empty());
+        CPPUNIT_ASSERT(bench.part.isIdle());
+    }
+
+    void noEngineIsToldAtOnceWithRetryAfter()
+    {
+        ChatBench bench(0);
+        bench.arrive("r1", "c1");
+        CPPUNIT_ASSERT(bench.answers("r1").size() == 1);
+        CPPUNIT_ASSERT(bench.answers("r1")[0].error == CallerError::NoBackend);
+        CPPUNIT_ASSERT(bench.answers("r1")[0].retryAfter.has_value());
+    }
+
+    void engineThatNeverConnectsEndsAsNotRun()
+    {
+        ChatBench bench(2);
+        bench.arrive("r1", "c1");
+        bench.end(bench.lastSent("r1"), AttemptEnd::NotConnected, 0);
+        bench.end(bench.lastSent("r1"), AttemptEnd::NotConnected, 0);
+        CPPUNIT_ASSERT(bench.answers("r1").size() == 1);
+        CPPUNIT_ASSERT(bench.answers("r1")[0].outcome == Outcome::NotRun);
+        CPPUNIT_ASSERT(bench.answers("r1")[0].error == CallerError::BackendFailed);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ChatPartTest);
