--- a/src/outcome/claimkey.h
+++ b/src/outcome/claimkey.h
@@ -26,7 +26,8 @@
 {
     CustomerId customer;
     IdempotencyKey key;
-    friend auto operator<=>(const ClaimKey &, const ClaimKey &) = default;
+    friend auto operator<=>(const ClaimKey &,
+                            const ClaimKey &) = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// One claim of one router. `number` is never used twice in one incarnation.
@@ -35,7 +36,8 @@
     RouterId router;
     Incarnation incarnation;
     std::uint64_t number = 0;
-    friend auto operator<=>(const ClaimId &, const ClaimId &) = default;
+    friend auto operator<=>(const ClaimId &,
+                            const ClaimId &) = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// The time of issue in a UUIDv7 or in a key "<13 digits of Unix milliseconds>-<anything>"; 0 for
--- a/src/outcome/claimlog.h
+++ b/src/outcome/claimlog.h
@@ -67,7 +67,8 @@
     {
         ClaimId id;
         bool isOutcome = false;
-        friend auto operator<=>(const PendingId &, const PendingId &) = default;
+        friend auto operator<=>(const PendingId &,
+                                const PendingId &) = default; // NOLINT(modernize-use-nullptr)
     };
 
     struct Pending
