--- a/include/comfrey/ids.h
+++ b/include/comfrey/ids.h
@@ -42,6 +42,8 @@
     constexpr std::uint64_t value() const noexcept { return m_value; }
     constexpr Number next() const noexcept { return Number(m_value + 1); }
 
+    // The check mistakes the 0 of a rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend constexpr auto operator<=>(const Number &, const Number &) = default;
 
 private:
--- a/src/membership/membershippart.h
+++ b/src/membership/membershippart.h
@@ -23,12 +23,16 @@
     std::uint64_t version() const override { return m_version; }
 
 private:
+    void onInstances(const std::vector<Instance> &instances, TimePoint now);
+    void readWhenDue(TimePoint now, Outbox &out);
+
     PartContext m_context;
     RouterId m_self;
     ZoneId m_zone;
     std::vector<RouterView> m_routers;   ///< Ordered by id; holds this router.
     std::vector<BackendView> m_backends; ///< Ordered by id.
     std::uint64_t m_version = 0;
+    TimePoint m_readAt; ///< When the platform's list is read next.
 };
 
 } // namespace comfrey
