--- a/include/comfrey/ids.h
+++ b/include/comfrey/ids.h
@@ -22,10 +22,7 @@
     bool isEmpty() const noexcept { return m_value.empty(); }
 
     friend bool operator==(const Name &, const Name &) = default;
-    friend std::strong_ordering operator<=>(const Name &left, const Name &right) noexcept
-    {
-        return left.m_value.compare(right.m_value) <=> 0;
-    }
+    friend std::strong_ordering operator<=>(const Name &, const Name &) = default;
 
 private:
     std::string m_value;
