--- /dev/null
+++ b/src/daemon/operatorserver.h
@@ -0,0 +1,28 @@
+// The operators' port: health, readiness, metrics and the state dump.
+#pragma once
+
+#include <string>
+
+#include "common/httpserver.h"
+#include "daemon/controlthread.h"
+
+namespace comfrey {
+
+class OperatorServer
+{
+public:
+    explicit OperatorServer(ControlThread &control);
+
+    Result<int> listen(const Endpoint &address);
+    void start() { m_server.start(); }
+    void stop() { m_server.stop(); }
+
+private:
+    /// The state as JSON, or an empty text if the control thread did not answer in time.
+    std::string dump();
+
+    ControlThread &m_control;
+    HttpServer m_server;
+};
+
+} // namespace comfrey
--- /dev/null
+++ b/src/daemon/platformclient.cpp
@@ -0,0 +1,191 @@
+// The platform's interfaces over HTTP.
+#include "daemon/platformclient.h"
+
+#include <nlohmann/json.hpp>
+
+#include "common/encoding.h"
+
+namespace comfrey {
+
+namespace {
+
+constexpr std::size_t kMaxThreads = 64;
+constexpr int kReadLimit = 1000; // records in one answer
+
+HttpClientOptions optionsWith(std::chrono::milliseconds timeout)
+{
+    HttpClientOptions options;
+    options.connectTimeout = timeout;
+    options.readTimeout = timeout;
+    options.writeTimeout = timeout;
+    return options;
+}
+
+bool isConnectFailure(const httplib::Result &result)
+{
+    return result.error() == httplib::Error::Connection
+        || result.error() == httplib::Error::ConnectionTimeout;
+}
+
+Result<LogRead> logReadOf(const StreamId &stream, const std::string &text)
+{
+    const nlohmann::json body = nlohmann::json::parse(text, nullptr, false);
+    if (!body.is_object() || !body.contains("records") || !body["records"].is_array())
+        return failure(ErrorCode::MalformedMessage,
+                       "answer for stream \"" + stream.value() + "\" is malformed");
+    LogRead read;
+    read.stream = stream;
+    read.firstOffset = LogOffset(body.value("first", std::uint64_t{0}));
+    read.endOffset = LogOffset(body.value("end", std::uint64_t{0}));
+    for (const nlohmann::json &item : body["records"]) {
+        auto payload = decodeBase64(item.value("payload", ""));
+        if (!payload)
+            return tl::make_unexpected(payload.error());
+        read.records.push_back({LogOffset(item.value("offset", std::uint64_t{0})), *payload});
+    }
+    return read;
+}
+
+AppendAnswered appendAnsweredOf(const AppendToLog &order, const httplib::Result &result)
+{
+    AppendAnswered answered{order.append, order.stream, AppendResult::Lost, {}};
+    if (!result) {
+        if (isConnectFailure(result))
+            answered.result = AppendResult::Refused;
+        return answered;
+    }
+    const nlohmann::json body = nlohmann::json::parse(result->body, nullptr, false);
+    if (result->status == 200 && body.is_object() && body.contains("offset")) {
+        answered.result = AppendResult::Accepted;
+        answered.offset = LogOffset(body.value("offset", std::uint64_t{0}));
+    } else if (result->status == 429
+               || (body.is_object() && body.contains("appended")
+                   && !body.value("appended", true))) {
+        answered.result = AppendResult::Refused;
+    }
+    return answered;
+}
+
+InstanceKind kindOf(const std::string &text)
+{
+    if (text == "router")
+        return InstanceKind::Router;
+    return text == "service" ? InstanceKind::Service : InstanceKind::Engine;
+}
+
+Instance instanceOf(const nlohmann::json &item)
+{
+    Instance instance;
+    instance.id = item.value("id", "");
+    instance.kind = kindOf(item.value("kind", "engine"));
+    instance.state =
+        item.value("state", "live") == "leaving" ? InstanceState::Leaving : InstanceState::Live;
+    instance.zone = ZoneId(item.value("zone", ""));
+    instance.address = Endpoint(item.value("address", ""));
+    instance.operatorAddress = Endpoint(item.value("operator_address", ""));
+    for (const nlohmann::json &model : item.value("models", nlohmann::json::array()))
+        instance.models.emplace_back(model.get<std::string>());
+    instance.service = ServiceName(item.value("service", ""));
+    instance.slots = item.value("slots", 0U);
+    instance.checksFencing = item.value("checks_fencing", false);
+    return instance;
+}
+
+} // namespace
+
+PlatformClient::PlatformClient(const Endpoint &address, std::chrono::milliseconds timeout,
+                               EventSink &sink)
+    : m_address(address), m_timeout(timeout), m_sink(sink), m_clients(optionsWith(timeout)),
+      m_pool(kMaxThreads, m_busy)
+{ }
+
+PlatformClient::~PlatformClient()
+{
+    m_pool.shutdown();
+}
+
+void PlatformClient::read(const ReadLog &order)
+{
+    m_pool.enqueue([this, order] { runRead(order); });
+}
+
+void PlatformClient::runRead(const ReadLog &order)
+{
+    // The wait stays well below the client's own time limit.
+    const auto wait = order.wait ? m_timeout / 2 : std::chrono::milliseconds(0);
+    const std::string path = "/log/streams/" + order.stream.value()
+        + "/records?from=" + std::to_string(order.from.value())
+        + "&limit=" + std::to_string(kReadLimit) + "&wait_ms=" + std::to_string(wait.count());
+    std::unique_ptr<httplib::Client> client = m_clients.take(m_address);
+    const httplib::Result result = client->Get(path);
+    if (!result || result->status != 200)
+        return m_sink.post(LogReadFailed{order.stream});
+    Result<LogRead> read = logReadOf(order.stream, result->body);
+    m_clients.giveBack(m_address, std::move(client));
+    if (!read)
+        return m_sink.post(LogReadFailed{order.stream});
+    m_sink.post(std::move(*read));
+}
+
+void PlatformClient::append(const AppendToLog &order)
+{
+    m_pool.enqueue([this, order] { runAppend(order); });
+}
+
+void PlatformClient::runAppend(const AppendToLog &order)
+{
+    const nlohmann::json body = {{"payload", encodeBase64(order.payload)}};
+    std::unique_ptr<httplib::Client> client = m_clients.take(m_address);
+    const httplib::Result result = client->Post("/log/streams/" + order.stream.value() + "/records",
+                                                body.dump(), "application/json");
+    m_sink.post(appendAnsweredOf(order, result));
+    if (result)
+        m_clients.giveBack(m_address, std::move(client));
+}
+
+void PlatformClient::readInstances()
+{
+    m_pool.enqueue([this] { runReadInstances(); });
+}
+
+void PlatformClient::runReadInstances()
+{
+    std::unique_ptr<httplib::Client> client = m_clients.take(m_address);
+    const httplib::Result result = client->Get("/instances");
+    if (!result || result->status != 200)
+        return m_sink.post(InstanceListFailed{});
+    const nlohmann::json body = nlohmann::json::parse(result->body, nullptr, false);
+    m_clients.giveBack(m_address, std::move(client));
+    if (!body.is_object() || !body.contains("instances"))
+        return m_sink.post(InstanceListFailed{});
+    InstanceListRead read;
+    for (const nlohmann::json &item : body["instances"])
+        read.instances.push_back(instanceOf(item));
+    m_sink.post(std::move(read));
+}
+
+void PlatformClient::fetchWeights(const FetchWeights &order)
+{
+    m_pool.enqueue([this, order] { runFetchWeights(order); });
+}
+
+void PlatformClient::runFetchWeights(const FetchWeights &order)
+{
+    const nlohmann::json body = {{"model", order.model.value()},
+                                 {"engine", order.backend.value()},
+                                 {"order", order.order.value()}};
+    std::unique_ptr<httplib::Client> client = m_clients.take(m_address);
+    const httplib::Result result = client->Post("/weights/fetch", body.dump(), "application/json");
+    WeightsAnswered answered{order.order, WeightsResult::Lost};
+    if (!result && isConnectFailure(result))
+        answered.result = WeightsResult::Failed;
+    if (result && result->status == 200)
+        answered.result = WeightsResult::Granted;
+    if (result && result->status == 429)
+        answered.result = WeightsResult::RateLimited;
+    m_sink.post(answered);
+    if (result)
+        m_clients.giveBack(m_address, std::move(client));
+}
+
+} // namespace comfrey
