--- a/tools/common/httpserver.cpp
+++ b/tools/common/httpserver.cpp
@@ -1,7 +1,11 @@
 #include "common/httpserver.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <limits>
 
 #include <nlohmann/json.hpp>
@@ -14,6 +18,7 @@
 namespace {
 
 constexpr int kListenBacklog = 4096; // connections
+constexpr rlim_t kMaxFilesSearched = 65536;
 constexpr auto kStartPoll = std::chrono::milliseconds(1);
 
 void setReuseAddress(int socket)
@@ -22,6 +27,22 @@
     ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 }
 
+int maxOpenFiles()
+{
+    rlimit limit{};
+    ::getrlimit(RLIMIT_NOFILE, &limit);
+    return static_cast<int>(std::min<rlim_t>(limit.rlim_cur, kMaxFilesSearched));
+}
+
+bool isPeer(int socket, const httplib::Request &request)
+{
+    sockaddr_in peer{};
+    socklen_t length = sizeof(peer);
+    if (::getpeername(socket, reinterpret_cast<sockaddr *>(&peer), &length) != 0)
+        return false;
+    return peer.sin_family == AF_INET && ntohs(peer.sin_port) == request.remote_port;
+}
+
 template<typename Setter>
 void setTimeout(std::chrono::milliseconds timeout, Setter setter)
 {
@@ -93,6 +114,16 @@
     response.set_content(body.dump(), "application/json");
 }
 
+// cpp-httplib does not hand the socket to handlers: it is found by the caller's port.
+void dropConnection(const httplib::Request &request)
+{
+    const int end = maxOpenFiles();
+    for (int socket = 0; socket < end; ++socket) {
+        if (isPeer(socket, request))
+            ::shutdown(socket, SHUT_RDWR);
+    }
+}
+
 nlohmann::json readJson(const httplib::Request &request, httplib::Response &response)
 {
     nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
--- a/tools/common/httpserver.h
+++ b/tools/common/httpserver.h
@@ -57,4 +57,7 @@
 /// The request's body as a JSON object; answers 400 and returns a discarded value if it is none.
 nlohmann::json readJson(const httplib::Request &request, httplib::Response &response);
 
+/// Shuts the connection of the request that a handler is serving, so that its answer is lost.
+void dropConnection(const httplib::Request &request);
+
 } // namespace comfrey
