--- a/tools/standin-platform/platformserver.cpp
+++ b/tools/standin-platform/platformserver.cpp
@@ -49,7 +49,7 @@
 
 Result<int> PlatformServer::start(const std::string &address)
 {
-    const Result<int> port = m_server.listen(address);
+    Result<int> port = m_server.listen(address);
     if (port)
         m_server.start();
     return port;
