--- a/tools/standin-platform/faults.cpp
+++ b/tools/standin-platform/faults.cpp
@@ -1,26 +1,9 @@
 #include "standin-platform/faults.h"
 
-#include <nlohmann/json.hpp>
+#include "common/jsonfields.h"
 
 namespace comfrey::standin {
 
-namespace {
-
-template<typename T>
-void readField(const nlohmann::json &body, const char *name, T &field)
-{
-    if (const auto found = body.find(name); found != body.end())
-        field = found->get<T>();
-}
-
-void readField(const nlohmann::json &body, const char *name, std::chrono::milliseconds &field)
-{
-    if (const auto found = body.find(name); found != body.end())
-        field = std::chrono::milliseconds(found->get<std::int64_t>());
-}
-
-} // namespace
-
 void readFaults(const nlohmann::json &body, PlatformFaults &faults)
 {
     readField(body, "log_down", faults.logDown);
