Server connections: a caller that closed its sending side gets its whole answer

Cause: cpp-httplib takes end of file on a connection for a caller that has left, so a half-closed caller got nothing. Change: the server side of a connection is a stream of our own below the library's request handling; a caller has left when the connection is reset or closed both ways, and an idle stream is probed by a comment.

--- a/src/daemon/callerserver.cpp
+++ b/src/daemon/callerserver.cpp
@@ -69,7 +69,9 @@
         }
         if (m_next.end)
             return writeEnd(sink, *m_next.end);
-        if (!sink.is_writable())
+        // A comment shows whether the caller is still there: one that only closed its sending side
+        // looks the same as one that has left until something is written.
+        if (m_next.tokens.empty() && !put(sink, kComment))
             return false;
         m_next = m_exchange->next(kLivenessInterval);
         return true;
@@ -78,6 +80,8 @@
     bool isComplete() const { return m_isComplete; }
 
 private:
+    static constexpr const char *kComment = ": waiting\n\n";
+
     static bool put(httplib::DataSink &sink, const std::string &text)
     {
         return sink.write(text.data(), text.size());
--- a/tools/common/httpserver.h
+++ b/tools/common/httpserver.h
@@ -12,6 +12,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include "comfrey/error.h"
+#include "common/callersocket.h"
 
 namespace comfrey {
 
@@ -47,7 +48,7 @@
 private:
     std::atomic<std::size_t> m_busy = 0;
     int m_socket = -1; ///< The listening socket; owned by m_server.
-    httplib::Server m_server;
+    CallerSocketServer m_server;
     std::thread m_thread;
 };
 
@@ -57,7 +58,4 @@
 /// The request's body as a JSON object; answers 400 and returns a discarded value if it is none.
 nlohmann::json readJson(const httplib::Request &request, httplib::Response &response);
 
-/// Shuts the connection of the request that a handler is serving, so that its answer is lost.
-void dropConnection(const httplib::Request &request);
-
 } // namespace comfrey
--- a/tools/standin-platform/platformserver.cpp
+++ b/tools/standin-platform/platformserver.cpp
@@ -94,7 +94,7 @@
     answerJson(response, 200, {{"offset", *offset}});
     if (m_faults.strikes(m_faults.current().loseAppendAnswers)) {
         LOG(INFO) << "event=append-answer-lost stream=" << stream << " offset=" << *offset;
-        dropConnection(request);
+        dropConnection();
     }
 }
 
@@ -159,7 +159,7 @@
     }
     answerJson(response, 200, nlohmann::json::object());
     if (m_faults.strikes(faults.loseWeightAnswers))
-        dropConnection(request);
+        dropConnection();
 }
 
 void PlatformServer::addOperatorRoutes()
