--- a/tests/fakefleettest.cpp
+++ b/tests/fakefleettest.cpp
@@ -21,50 +21,50 @@
 public:
     void setUp() override
     {
-        fleet.addRouter("r1");
-        fleet.addRouter("r2", "z2");
+        m_fleet.addRouter("r1");
+        m_fleet.addRouter("r2", "z2");
     }
 
     void routerKilledBeforeAnswerLosesItsCaller()
     {
-        fleet.pauseRouter("r1");
-        const RequestId request = fleet.submit("r1", chatRequest("c1", "chat1"));
-        fleet.killRouter("r1");
-        CPPUNIT_ASSERT(fleet.answer(request).connectionLost);
-        CPPUNIT_ASSERT(!fleet.isRunning("r1"));
+        m_fleet.pauseRouter("r1");
+        const RequestId request = m_fleet.submit("r1", chatRequest("c1", "chat1"));
+        m_fleet.killRouter("r1");
+        CPPUNIT_ASSERT(m_fleet.answer(request).connectionLost);
+        CPPUNIT_ASSERT(!m_fleet.isRunning("r1"));
     }
 
     void routerRestartedHasHigherIncarnation()
     {
         const auto incarnation = [this] {
-            return nlohmann::json::parse(fleet.dump("r1"))["incarnation"].get<std::uint64_t>();
+            return nlohmann::json::parse(m_fleet.dump("r1"))["incarnation"].get<std::uint64_t>();
         };
         const std::uint64_t before = incarnation();
-        fleet.restartRouter("r1");
+        m_fleet.restartRouter("r1");
         CPPUNIT_ASSERT(incarnation() > before);
     }
 
     void routerPausedHandlesNothingUntilItWakes()
     {
-        fleet.pauseRouter("r1");
-        fleet.pauseRouter("r2");
-        fleet.runFor(milliseconds(100));
-        const std::uint64_t before = fleet.eventsHandled();
-        fleet.submit("r1", chatRequest("c1", "chat1"));
-        fleet.runFor(milliseconds(1000));
-        CPPUNIT_ASSERT_EQUAL(before, fleet.eventsHandled());
-        fleet.resumeRouter("r1");
-        CPPUNIT_ASSERT(fleet.eventsHandled() > before);
+        m_fleet.pauseRouter("r1");
+        m_fleet.pauseRouter("r2");
+        m_fleet.runFor(milliseconds(100));
+        const std::uint64_t before = m_fleet.eventsHandled();
+        m_fleet.submit("r1", chatRequest("c1", "chat1"));
+        m_fleet.runFor(milliseconds(1000));
+        CPPUNIT_ASSERT_EQUAL(before, m_fleet.eventsHandled());
+        m_fleet.resumeRouter("r1");
+        CPPUNIT_ASSERT(m_fleet.eventsHandled() > before);
     }
 
     void requestToDeadRouterIsLostAtOnce()
     {
-        fleet.killRouter("r1");
-        CPPUNIT_ASSERT(fleet.answer(fleet.submit("r1", chatRequest("c1", "x"))).connectionLost);
+        m_fleet.killRouter("r1");
+        CPPUNIT_ASSERT(m_fleet.answer(m_fleet.submit("r1", chatRequest("c1", "x"))).connectionLost);
     }
 
 private:
-    FakeFleet fleet{1};
+    FakeFleet m_fleet{1};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FakeFleetTest);
--- a/tests/fakestest.cpp
+++ b/tests/fakestest.cpp
@@ -56,43 +56,43 @@
 
     void logAppendWithLostAnswerIsReadBack()
     {
-        log.faults().loseAnswers = 1;
+        m_log.faults().loseAnswers = 1;
         AppendResult result = AppendResult::Accepted;
-        log.append(stream, {1}, [&](AppendResult given, LogOffset) { result = given; });
-        queue.runUntil(queue.now() + milliseconds(10));
+        m_log.append(m_stream, {1}, [&](AppendResult given, LogOffset) { result = given; });
+        m_queue.runUntil(m_queue.now() + milliseconds(10));
         CPPUNIT_ASSERT(result == AppendResult::Lost);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), log.readNow(stream, LogOffset(1)).records.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_log.readNow(m_stream, LogOffset(1)).records.size());
     }
 
     void logAppendThatIsLateShowsLater()
     {
-        log.faults().lateAppends = 1;
-        log.append(stream, {1}, [](AppendResult, LogOffset) {});
-        queue.runUntil(queue.now() + milliseconds(1000));
-        CPPUNIT_ASSERT(log.readNow(stream, LogOffset(1)).records.empty());
-        queue.runUntil(queue.now() + milliseconds(3000));
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), log.readNow(stream, LogOffset(1)).records.size());
+        m_log.faults().lateAppends = 1;
+        m_log.append(m_stream, {1}, [](AppendResult, LogOffset) {});
+        m_queue.runUntil(m_queue.now() + milliseconds(1000));
+        CPPUNIT_ASSERT(m_log.readNow(m_stream, LogOffset(1)).records.empty());
+        m_queue.runUntil(m_queue.now() + milliseconds(3000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_log.readNow(m_stream, LogOffset(1)).records.size());
     }
 
     void logOverItsRateRefuses()
     {
-        log.setAppendRate(2);
+        m_log.setAppendRate(2);
         int refused = 0;
         for (int i = 0; i < 3; ++i) {
-            log.append(stream, {1}, [&refused](AppendResult result, LogOffset) {
+            m_log.append(m_stream, {1}, [&refused](AppendResult result, LogOffset) {
                 refused += result == AppendResult::Refused ? 1 : 0;
             });
         }
-        queue.runUntil(queue.now() + milliseconds(10));
+        m_queue.runUntil(m_queue.now() + milliseconds(10));
         CPPUNIT_ASSERT_EQUAL(1, refused);
     }
 
     void logOverRetentionForgetsOldest()
     {
-        log.setRetention(2);
+        m_log.setRetention(2);
         for (std::uint8_t i = 1; i <= 3; ++i)
-            log.appendNow(stream, {i});
-        const LogRead read = log.readNow(stream, LogOffset(1));
+            m_log.appendNow(m_stream, {i});
+        const LogRead read = m_log.readNow(m_stream, LogOffset(1));
         CPPUNIT_ASSERT(read.firstOffset == LogOffset(2));
         CPPUNIT_ASSERT(read.endOffset == LogOffset(4));
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), read.records.size());
@@ -101,39 +101,39 @@
     void logReadThatWaitsIsAnsweredByAppend()
     {
         std::optional<LogRead> answer;
-        log.read(stream, LogOffset(1), true,
-                 [&answer](const std::optional<LogRead> &read) { answer = read; });
-        queue.runUntil(queue.now() + milliseconds(100));
+        m_log.read(m_stream, LogOffset(1), true,
+                   [&answer](const std::optional<LogRead> &read) { answer = read; });
+        m_queue.runUntil(m_queue.now() + milliseconds(100));
         CPPUNIT_ASSERT(!answer);
-        log.appendNow(stream, {7});
-        queue.runUntil(queue.now() + milliseconds(10));
+        m_log.appendNow(m_stream, {7});
+        m_queue.runUntil(m_queue.now() + milliseconds(10));
         CPPUNIT_ASSERT(answer && answer->records.size() == 1);
     }
 
     void instanceListLagsBehindChange()
     {
-        FakeInstances instances(queue);
+        FakeInstances instances(m_queue);
         instances.setLag(milliseconds(1000));
         Instance instance;
         instance.id = "e1";
         instances.put(instance);
-        queue.runUntil(queue.now() + milliseconds(2000));
+        m_queue.runUntil(m_queue.now() + milliseconds(2000));
         instances.remove("e1");
-        queue.runUntil(queue.now() + milliseconds(999));
+        m_queue.runUntil(m_queue.now() + milliseconds(999));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), instances.read()->size());
-        queue.runUntil(queue.now() + milliseconds(1));
+        m_queue.runUntil(m_queue.now() + milliseconds(1));
         CPPUNIT_ASSERT(instances.read()->empty());
     }
 
     void netWithCutDropsBothWays()
     {
-        FakeNet net(queue, 1);
+        FakeNet net(m_queue, 1);
         net.cut({"a"}, {"b"});
         int delivered = 0;
         net.sendMessage("a", "b", 10, [&delivered] { ++delivered; });
         net.sendMessage("b", "a", 10, [&delivered] { ++delivered; });
         net.sendMessage("a", "c", 10, [&delivered] { ++delivered; });
-        queue.runUntil(queue.now() + milliseconds(100));
+        m_queue.runUntil(m_queue.now() + milliseconds(100));
         CPPUNIT_ASSERT_EQUAL(1, delivered);
     }
 
@@ -142,14 +142,14 @@
         EngineOptions options;
         options.id = "e1";
         Sink sink;
-        FakeEngine engine(queue, sink, options);
+        FakeEngine engine(m_queue, sink, options);
         engine.arrive(arrivalOf(chatRequest("c1", "chat1"), 50));
-        queue.runUntil(queue.now() + milliseconds(200));
+        m_queue.runUntil(m_queue.now() + milliseconds(200));
         CPPUNIT_ASSERT(sink.delivered > 0);
         engine.crash();
         CPPUNIT_ASSERT(sink.last.how == AttemptEnd::BrokenInAnswer);
         CPPUNIT_ASSERT(!engine.isUp());
-        queue.runUntil(queue.now() + milliseconds(5000));
+        m_queue.runUntil(m_queue.now() + milliseconds(5000));
         CPPUNIT_ASSERT_EQUAL(1, sink.ends);
     }
 
@@ -158,9 +158,9 @@
         EngineOptions options;
         options.id = "e1";
         Sink sink;
-        FakeEngine checks(queue, sink, options);
+        FakeEngine checks(m_queue, sink, options);
         options.checksFencing = false;
-        FakeEngine ignores(queue, sink, options);
+        FakeEngine ignores(m_queue, sink, options);
         GiveOrder order;
         order.kind = OrderKind::LoadModel;
         order.subject = "m2";
@@ -179,7 +179,7 @@
         options.id = "s1";
         Sink sink;
         RunCounts runs;
-        FakeService service(queue, sink, runs, options);
+        FakeService service(m_queue, sink, runs, options);
         service.faults().fault = ServiceFault::CrashAfterRun;
         const CallerRequest request = callRequest("c1", "k1");
         service.arrive(arrivalOf(request, 0));
@@ -189,9 +189,9 @@
     }
 
 private:
-    EventQueue queue;
-    FakeLog log{queue, 1};
-    StreamId stream{"s"};
+    EventQueue m_queue;
+    FakeLog m_log{m_queue, 1};
+    StreamId m_stream{"s"};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FakesTest);
--- a/tests/support/fakebackend.h
+++ b/tests/support/fakebackend.h
@@ -1,9 +1,9 @@
 // What the fakes of engines and of plain services have in common.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 #include "comfrey/actions.h"
 #include "comfrey/events.h"
@@ -25,7 +25,12 @@
     RouterId router;
     std::uint64_t incarnation = 0;
     AttemptId attempt;
-    friend auto operator<=>(const AttemptKey &, const AttemptKey &) = default;
+    friend bool operator==(const AttemptKey &, const AttemptKey &) = default;
+    friend bool operator<(const AttemptKey &left, const AttemptKey &right)
+    {
+        return std::tie(left.router, left.incarnation, left.attempt)
+            < std::tie(right.router, right.incarnation, right.attempt);
+    }
 };
 
 struct Arrival
--- a/tests/support/fakefleet.cpp
+++ b/tests/support/fakefleet.cpp
@@ -101,7 +101,7 @@
 
 RequestId FakeFleet::submit(const std::string &router, const Submission &submission)
 {
-    const RequestId id("q" + std::to_string(++m_lastRequest));
+    RequestId id("q" + std::to_string(++m_lastRequest));
     CallerRecord &caller = m_callers[id];
     caller.submission = submission;
     caller.router = RouterId(router);
--- /dev/null
+++ b/tools/settingspage/main.cpp
@@ -0,0 +1,10 @@
+// Prints docs/CONFIGURATION.md.
+#include <iostream>
+
+#include "settings/settingspage.h"
+
+int main()
+{
+    std::cout << comfrey::settingsPage();
+    return 0;
+}
