--- a/src/daemon/callerserver.cpp
+++ b/src/daemon/callerserver.cpp
@@ -31,11 +31,6 @@
     return answer;
 }
 
-void answerFault(httplib::Response &response, const RequestFault &fault)
-{
-    answerError(response, RequestId(), refusal(fault.error, fault.text));
-}
-
 void setOutcome(httplib::Response &response, const Exchange &exchange, Outcome outcome)
 {
     response.set_header("X-Request-Id", exchange.request().value());
@@ -166,7 +161,7 @@
     });
 }
 
-void CallerServer::describeFault(const httplib::Request &request, httplib::Response &response) const
+void CallerServer::describeFault(const httplib::Request &request, httplib::Response &response)
 {
     if (response.has_header("X-Comfrey-Outcome") || !response.body.empty())
         return;
@@ -177,10 +172,15 @@
     if (status == 413)
         answer = refusal(CallerError::TooLarge,
                          "the body is over " + std::to_string(m_options.maxBodyBytes) + " bytes");
-    answerError(response, RequestId(), answer);
+    refuse(response, answer);
     response.status = status;
 }
 
+void CallerServer::refuse(httplib::Response &response, const AnswerCaller &answer)
+{
+    answerError(response, nextRequestId(), answer);
+}
+
 RequestId CallerServer::nextRequestId()
 {
     return RequestId(m_options.router.value() + '-' + std::to_string(m_options.incarnation.value())
@@ -205,13 +205,13 @@
 {
     auto parsed = parseChat(request);
     if (!parsed)
-        return answerFault(response, parsed.error());
+        return refuse(response, refusal(parsed.error().error, parsed.error().text));
     if (m_exchanges.size() >= m_options.maxRequests) {
         AnswerCaller answer = refusal(CallerError::OutOfContract,
                                       "router \"" + m_options.router.value()
                                           + "\" serves as many requests as it may");
         answer.retryAfter = std::chrono::seconds(1);
-        return answerError(response, RequestId(), answer);
+        return refuse(response, answer);
     }
     const std::shared_ptr<Exchange> exchange = open(std::move(*parsed));
     CallerPiece piece = firstPiece(*exchange);
@@ -241,7 +241,7 @@
 {
     auto parsed = parseServiceCall(request);
     if (!parsed)
-        return answerFault(response, parsed.error());
+        return refuse(response, refusal(parsed.error().error, parsed.error().text));
     const std::shared_ptr<Exchange> exchange = open(std::move(*parsed));
     const CallerPiece piece = firstPiece(*exchange);
     close(*exchange);
@@ -272,6 +272,7 @@
     nlohmann::json list = nlohmann::json::array();
     for (const ModelId &model : *models)
         list.push_back({{"id", model.value()}, {"object", "model"}});
+    response.set_header("X-Request-Id", nextRequestId().value());
     response.set_header("X-Comfrey-Outcome", textOf(Outcome::Answered));
     answerJson(response, 200, {{"object", "list"}, {"data", list}});
 }
--- a/src/daemon/callerserver.h
+++ b/src/daemon/callerserver.h
@@ -38,7 +38,8 @@
     void serveService(const httplib::Request &request, httplib::Response &response);
     void serveModels(const httplib::Request &request, httplib::Response &response);
     void serveReadiness(httplib::Response &response);
-    void describeFault(const httplib::Request &request, httplib::Response &response) const;
+    void describeFault(const httplib::Request &request, httplib::Response &response);
+    void refuse(httplib::Response &response, const AnswerCaller &answer);
     std::shared_ptr<Exchange> open(ParsedRequest parsed);
     void close(const Exchange &exchange);
     RequestId nextRequestId();
--- a/tools/common/httpserver.cpp
+++ b/tools/common/httpserver.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr std::size_t kRequestsPerConnection = 1000000;
 constexpr int kListenBacklog = 4096; // connections
 constexpr auto kStartPoll = std::chrono::milliseconds(1);
 
@@ -32,6 +33,8 @@
         m_socket = socket;
     });
     m_server.set_tcp_nodelay(true);
+    m_server.set_keep_alive_max_count(kRequestsPerConnection);
+    m_server.set_keep_alive_timeout(static_cast<time_t>(options.keepAlive.count()));
     m_server.setTimeouts({options.readTimeout, options.writeTimeout, options.keepAlive});
     m_server.set_payload_max_length(options.maxBodyBytes);
 }
--- a/tools/run/libfleet.sh
+++ b/tools/run/libfleet.sh
@@ -111,6 +111,7 @@
 
 stopFleet() {
     local name pids=()
+    exec 2>/dev/null # the shell's notes about ended jobs
     for name in "${!fleetPids[@]}"; do
         kill -CONT "${fleetPids[$name]}" 2>/dev/null
         kill -KILL "${fleetPids[$name]}" 2>/dev/null
