--- a/src/daemon/callerserver.cpp
+++ b/src/daemon/callerserver.cpp
@@ -265,8 +265,8 @@
     const bool answered = m_control.query(
         [models, key](const Router &router, TimePoint) { *models = router.modelsFor(key); });
     if (!answered || models->empty()) {
-        return answerError(
-            response, RequestId(),
+        return refuse(
+            response,
             refusal(CallerError::UnknownKey, "the API key is not known or may use no model"));
     }
     nlohmann::json list = nlohmann::json::array();
