--- a/tools/standin-service/runcounter.cpp
+++ b/tools/standin-service/runcounter.cpp
@@ -25,4 +25,15 @@
             {"without_key", m_withoutKey}};
 }
 
+nlohmann::json RunCounter::countsOf(const std::string &key) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_runs.find(key);
+    const std::uint64_t runs = found == m_runs.end() ? 0 : found->second;
+    return {{"calls", runs},
+            {"keys", runs > 0 ? 1 : 0},
+            {"repeats", runs > 0 ? runs - 1 : 0},
+            {"without_key", 0}};
+}
+
 } // namespace comfrey::standin
--- a/tools/standin-service/runcounter.h
+++ b/tools/standin-service/runcounter.h
@@ -16,8 +16,10 @@
     /// Counts a run when it starts; returns the number of the run of its key. A call without a key
     /// counts as a key of its own.
     std::uint64_t start(const std::string &key);
-    /// {"calls","keys","repeats"}.
+    /// {"calls","keys","repeats","without_key"}.
     nlohmann::json counts() const;
+    /// The same of one key.
+    nlohmann::json countsOf(const std::string &key) const;
 
 private:
     mutable std::mutex m_mutex;
--- a/tools/standin-service/serviceserver.cpp
+++ b/tools/standin-service/serviceserver.cpp
@@ -40,8 +40,10 @@
     m_server.routes().Post(paths, handler);
     m_server.routes().Put(paths, handler);
     m_server.routes().Delete(paths, handler);
-    m_server.routes().Get("/counts", [this](const auto &, auto &response) {
-        answerJson(response, 200, m_runs.counts());
+    m_server.routes().Get("/counts", [this](const auto &request, auto &response) {
+        const bool isOfKey = request.has_param("key");
+        answerJson(response, 200,
+                   isOfKey ? m_runs.countsOf(request.get_param_value("key")) : m_runs.counts());
     });
     m_server.routes().Put("/faults", [this](const auto &request, auto &response) {
         changeFaults(request, response);
