--- a/include/comfrey/ids.h
+++ b/include/comfrey/ids.h
@@ -22,6 +22,7 @@
     bool isEmpty() const noexcept { return m_value.empty(); }
 
     friend bool operator==(const Name &, const Name &) = default;
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive of clang-tidy 14.
     friend std::strong_ordering operator<=>(const Name &, const Name &) = default;
 
 private:
