--- a/tools/run/soak.sh
+++ b/tools/run/soak.sh
@@ -54,6 +54,9 @@
 
 replaceRouter() {
     local code=0
+    curl -s "http://127.0.0.1:$(operatorPort "$1")/debug/dump" >"$fleetDir/r$1.before-stop.json" || true
+    kill -TERM "${fleetPids[r$1]}"
+    (sleep 20; curl -s -m 2 "http://127.0.0.1:$(operatorPort "$1")/debug/dump" >"$fleetDir/r$1.late-stop.json") &
     killProcess "r$1" TERM || code=$?
     [ "$code" = 0 ] || broken "router r$1 ended with code $code after SIGTERM"
     startRouter "$1" "z$1"
@@ -87,7 +90,7 @@
 for ((index = 0; index < engines; ++index)); do replaceEngine "$index"; done
 wait "$loadPid" || true
 judge planned
-cut=$(jq -r '(.chats.ends.broken // 0) + (.services.ends.broken // 0) + (.services.ends.unknown // 0)' "$fleetDir/planned.json")
+cut=$(jq -r '(.chats.ends.broken // 0) + (.chats.ends.failed // 0) + (.services.ends.broken // 0) + (.services.ends.unknown // 0)' "$fleetDir/planned.json")
 [ "$cut" = 0 ] || broken "planned: $cut requests were cut"
 
 echo "random: kill, pause and stop for $minutes min, seed $seed"
