--- a/include/comfrey/fleet.h
+++ b/include/comfrey/fleet.h
@@ -74,6 +74,8 @@
     virtual const BackendView *backend(const BackendId &id) const = 0;
     /// Grows whenever routers() or backends() changes, so that users can keep derived tables.
     virtual std::uint64_t version() const = 0;
+    /// False until the platform's list was read once.
+    virtual bool hasList() const { return true; }
 };
 
 } // namespace comfrey
--- a/include/comfrey/lists.h
+++ b/include/comfrey/lists.h
@@ -72,6 +72,10 @@
     virtual const PlanEntry *customerOf(const ApiKeyHash &key) const = 0;
     /// False until a first state was read; the router is not ready before.
     virtual bool isLoaded() const = 0;
+    /// Last record of the stream "config" that is in force here.
+    virtual LogOffset offset() const { return LogOffset(); }
+    /// When some router last read the end of the log and found nothing beyond offset().
+    virtual TimePoint confirmedAt(TimePoint now) const { return now; }
 };
 
 } // namespace comfrey
--- a/src/config/configpart.h
+++ b/src/config/configpart.h
@@ -1,9 +1,14 @@
-// The two lists: follows the stream "config" and passes it on between routers.
+// The two lists: follows the stream "config", from the log or from other routers, and passes it on.
 #pragma once
 
+#include <deque>
+#include <optional>
 #include <unordered_map>
 
 #include "config/logfollower.h"
+#include "config/logreader.h"
+#include "config/peerexchange.h"
+#include "config/snapshotwriter.h"
 #include "facade/part.h"
 
 namespace comfrey {
@@ -15,31 +20,40 @@
 
     const char *name() const override { return "config"; }
     void onEvent(const Event &event, TimePoint now, Outbox &out) override;
+    void onMessage(const RouterId &from, const wire::MessageT &message, TimePoint now,
+                   Outbox &out) override;
     TimePoint nextWakeUp() const override;
     void dump(nlohmann::json &out, TimePoint now) const override;
 
     const Lists &lists() const override { return m_follower.state().lists; }
     const PlanEntry *customerOf(const ApiKeyHash &key) const override;
-    bool isLoaded() const override { return m_follower.hasReachedEnd(); }
-
-    /// Last record of the stream that is in force here.
-    LogOffset offset() const { return m_follower.state().foldedTo; }
+    bool isLoaded() const override { return m_loaded; }
+    LogOffset offset() const override { return m_follower.state().foldedTo; }
+    TimePoint confirmedAt(TimePoint now) const override;
 
 private:
     void onLogRead(const LogRead &read, TimePoint now, Outbox &out);
-    void onReadFailed(TimePoint now);
-    void readWhenDue(TimePoint now, Outbox &out);
-    void noteResults(const std::vector<FoldResult> &results, Outbox &out);
+    void onGossip(const RouterId &from, const wire::GossipT &gossip, TimePoint now);
+    void act(TimePoint now, Outbox &out);
+    void updateRole(TimePoint now);
+    void updateLoaded(TimePoint now);
+    void takeResults(const std::vector<FoldResult> &results, TimePoint now, Outbox &out);
+    void writeSnapshotWhenDue(TimePoint now, Outbox &out);
     void rebuildIndex();
 
     PartContext m_context;
     LogFollower m_follower;
+    LogReader m_reader;
+    PeerExchange m_exchange;
+    SnapshotWriter m_snapshots;
     /// Owner of each key; rebuilt whenever the revision changes.
     std::unordered_map<ApiKeyHash, CustomerId> m_owners;
     Revision m_indexedRevision;
-    bool m_reading = false; ///< A read of the stream is out; there is at most one.
-    TimePoint m_readAt; ///< When the next read is due, or when the one that is out counts as lost.
-    std::uint32_t m_failures = 0; ///< Reads that failed since the last answer.
+    std::optional<std::uint32_t> m_tailingRank;  ///< Of this router; nothing if it does not tail.
+    std::optional<std::uint64_t> m_fleetVersion; ///< For which m_tailingRank was worked out.
+    bool m_loaded = false;                       ///< Never false again once it is true.
+    TimePoint m_loadBy = kNever;       ///< When the log's end counts without word of other routers.
+    std::deque<FoldResult> m_problems; ///< Newest refused and skipped records, for the dump.
 };
 
 } // namespace comfrey
--- a/src/config/logfollower.cpp
+++ b/src/config/logfollower.cpp
@@ -26,6 +26,7 @@
         return false;
     const std::vector<FoldResult> folded = foldPayload(m_state, offset, payload);
     results.insert(results.end(), folded.begin(), folded.end());
+    m_recent.add(offset, payload);
     m_scanFrom = LogOffset();
     return true;
 }
@@ -38,6 +39,7 @@
     const record::ConfigSnapshotT *snapshot = snapshotIn(*record);
     if (snapshot == nullptr || !adoptSnapshot(m_state, *snapshot))
         return false;
+    m_recent.clear();
     m_scanFrom = LogOffset();
     return true;
 }
@@ -53,6 +55,7 @@
         if (snapshot == nullptr || LogOffset(snapshot->foldedTo).next() < read.firstOffset)
             continue;
         if (adoptSnapshot(m_state, *snapshot)) {
+            m_recent.clear();
             m_scanFrom = LogOffset();
             return;
         }
--- a/src/config/logfollower.h
+++ b/src/config/logfollower.h
@@ -7,6 +7,7 @@
 #include "comfrey/events.h"
 #include "config/configstate.h"
 #include "config/fold.h"
+#include "config/recentrecords.h"
 
 namespace comfrey {
 
@@ -27,6 +28,9 @@
     /// Takes over an encoded snapshot if it is newer. Returns whether it did.
     bool takeSnapshot(const Bytes &payload);
 
+    /// The newest records that were folded, for others that are a little behind.
+    const RecentRecords &recent() const { return m_recent; }
+
     /// True while the log has dropped records that this state lacks: only a newer snapshot helps.
     bool lacksRecords() const { return m_scanFrom.value() > 0; }
 
@@ -37,7 +41,8 @@
     void scanForSnapshot(const LogRead &read);
 
     ConfigState m_state;
-    LogOffset m_scanFrom; ///< Where the search for a snapshot goes on; 0 while none is needed.
+    RecentRecords m_recent; ///< Ends with the record at m_state.foldedTo.
+    LogOffset m_scanFrom;   ///< Where the search for a snapshot goes on; 0 while none is needed.
     bool m_reachedEnd = false;
 };
 
--- a/src/facade/router.cpp
+++ b/src/facade/router.cpp
@@ -32,7 +32,7 @@
     PartContext context();
     void deliver(const PeerMessage &message, TimePoint now, Outbox &outbox);
     void flush(Outbox &outbox, std::vector<Action> &out);
-    Endpoint peerAddress(const RouterId &id) const;
+    void noteSends(const std::vector<Action> &out, std::size_t first);
     void refuseWhileStopping(const RequestArrived &arrived, std::vector<Action> &out) const;
     void reportStopped(std::vector<Action> &out);
 
@@ -68,6 +68,7 @@
         return refuseWhileStopping(*arrived, out);
     if (std::holds_alternative<StopRequested>(event))
         m_stopping = true;
+    const std::size_t first = out.size();
     Outbox outbox(out);
     if (const auto *message = std::get_if<PeerMessage>(&event)) {
         deliver(*message, now, outbox);
@@ -76,9 +77,18 @@
             part->onEvent(event, now, outbox);
     }
     flush(outbox, out);
+    noteSends(out, first);
     reportStopped(out);
 }
 
+void Router::Impl::noteSends(const std::vector<Action> &out, std::size_t first)
+{
+    for (std::size_t i = first; i < out.size(); ++i) {
+        if (const auto *sent = std::get_if<SendToBackend>(&out[i]))
+            m_membership.noteSent(*sent);
+    }
+}
+
 void Router::Impl::deliver(const PeerMessage &message, TimePoint now, Outbox &outbox)
 {
     const Result<wire::EnvelopeT> envelope = decodeEnvelope(message.payload);
@@ -99,7 +109,7 @@
 void Router::Impl::flush(Outbox &outbox, std::vector<Action> &out)
 {
     for (auto &[to, messages] : outbox.takeMessages()) {
-        const Endpoint address = peerAddress(to);
+        const Endpoint address = m_membership.peerAddress(to);
         if (address.isEmpty())
             continue;
         wire::EnvelopeT envelope;
@@ -112,14 +122,6 @@
     }
 }
 
-Endpoint Router::Impl::peerAddress(const RouterId &id) const
-{
-    const auto &routers = m_membership.routers();
-    const auto found = std::find_if(routers.begin(), routers.end(),
-                                    [&id](const RouterView &view) { return view.id == id; });
-    return found == routers.end() ? Endpoint() : found->peerAddress;
-}
-
 void Router::Impl::refuseWhileStopping(const RequestArrived &arrived,
                                        std::vector<Action> &out) const
 {
