--- a/include/comfrey/ids.h
+++ b/include/comfrey/ids.h
@@ -22,8 +22,7 @@
     bool isEmpty() const noexcept { return m_value.empty(); }
 
     friend bool operator==(const Name &, const Name &) = default;
-    // The check mistakes the 0 of a rewritten comparison for a null pointer; so below.
-    // NOLINTNEXTLINE(modernize-use-nullptr)
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive of clang-tidy 14.
     friend std::strong_ordering operator<=>(const Name &, const Name &) = default;
 
 private:
@@ -41,6 +40,7 @@
     constexpr std::uint64_t value() const noexcept { return m_value; }
     constexpr Number next() const noexcept { return Number(m_value + 1); }
 
+    // The check mistakes the 0 of a rewritten comparison for a null pointer.
     // NOLINTNEXTLINE(modernize-use-nullptr)
     friend constexpr auto operator<=>(const Number &, const Number &) = default;
 
--- a/src/chat/chatrequest.h
+++ b/src/chat/chatrequest.h
@@ -5,19 +5,26 @@
 #include <optional>
 #include <vector>
 
+#include "comfrey/actions.h"
 #include "comfrey/events.h"
 #include "comfrey/lists.h"
 #include "outcome/runstate.h"
+#include "placement/placer.h"
 
 namespace comfrey {
 
-/// One sending of a chat to an engine.
+/// One sending of a chat to an engine. It lives until its AttemptEnded, also after its request was
+/// answered, since it holds the engine's slot until then.
 struct ChatAttempt
 {
     AttemptId id;
+    RequestId request;
     BackendId backend;
     TimePoint sentAt;
-    Tokens tokens = 0; ///< That this attempt has brought, as far as known.
+    TimePoint lastTokensAt; ///< Of the newest progress.
+    Tokens tokens = 0;      ///< That this attempt has brought, as far as known.
+    double slowness = 0;    ///< Highest latency over the usual one; 0 is unknown.
+    bool hedge = false;
     bool cancelled = false;
 };
 
@@ -31,24 +38,17 @@
     Contract contract;
     TimePoint arrivedAt;
     TimePoint deadline;
-    Tokens delivered = 0; ///< By attempts that have ended; the next one resumes there.
+    Priority priority = Priority::Short;
+    bool countedIn = false; ///< Against the plan's limits.
+    Tokens delivered = 0;   ///< By attempts that have ended; the next one resumes there.
     RunState run = RunState::NotSent;
-    std::vector<ChatAttempt> attempts; ///< In flight.
-    std::optional<AttemptId> winner;   ///< The attempt whose tokens the caller gets.
-    std::vector<BackendId> failedOn;   ///< Engines that are not tried again.
-
-    ChatAttempt *attempt(AttemptId wanted)
-    {
-        const auto found =
-            std::find_if(attempts.begin(), attempts.end(),
-                         [wanted](const ChatAttempt &one) { return one.id == wanted; });
-        return found == attempts.end() ? nullptr : &*found;
-    }
-
-    bool hasFailedOn(const BackendId &backend) const
-    {
-        return std::find(failedOn.begin(), failedOn.end(), backend) != failedOn.end();
-    }
+    std::optional<SearchId> search;      ///< For the engine that is to run it.
+    std::optional<SearchId> hedgeSearch; ///< For a second engine.
+    bool hedged = false;
+    std::vector<AttemptId> attempts; ///< In flight and not cancelled.
+    std::optional<AttemptId> winner; ///< The attempt whose tokens the caller gets.
+    std::vector<BackendId> failedOn; ///< Engines that are not tried again.
+    std::uint32_t brokenEngines = 0; ///< That broke while they ran it, since it last ran well.
 };
 
 } // namespace comfrey
--- a/src/placement/ranking.cpp
+++ b/src/placement/ranking.cpp
@@ -57,6 +57,14 @@
     return engines;
 }
 
+std::uint64_t poolKey(const BackendView &backend)
+{
+    std::uint64_t key = 0;
+    for (const ModelId &model : backend.models)
+        key = rendezvousWeight(key, model.value());
+    return key;
+}
+
 RouterId homeRouterOf(const BackendId &backend, const FleetView &fleet)
 {
     const std::uint64_t key = hashOf(backend.value());
--- a/src/placement/ranking.h
+++ b/src/placement/ranking.h
@@ -27,6 +27,9 @@
 /// Engines that take new work for the request's model, in the order of FleetView::backends().
 std::vector<const BackendView *> enginesServing(const ModelId &model, const FleetView &fleet);
 
+/// Equal for engines that serve the same models; their mean load is one.
+std::uint64_t poolKey(const BackendView &backend);
+
 /// The router that is home of a back end: it probes it and keeps its slots. Only routers that are
 /// alive count; this router itself if the view holds none.
 RouterId homeRouterOf(const BackendId &backend, const FleetView &fleet);
--- a/src/settings/settingstable.cpp
+++ b/src/settings/settingstable.cpp
@@ -125,7 +125,8 @@
     };
     add("policy", "",
         text<section, &PlacementT::policy>(TextForm::Choice, "bounded-affinity",
-                                           {"bounded-affinity"}),
+                                           {"bounded-affinity", "hash-only", "round-robin",
+                                            "random", "p2c", "least-reported-load"}),
         "How an engine is chosen for a chat.");
     add("load_multiple", "", ratio<section, &PlacementT::loadMultiple>(1.0F, 10.0F),
         "No engine carries more than this multiple of the mean load.");
@@ -135,6 +136,18 @@
         "Chats off their first engine whose place is remembered.");
     add("probe_interval_ms", "ms", count<section, &PlacementT::probeIntervalMs>(10, kMinuteMs),
         "Time between two probes of an engine by its home router.");
+    add("slot_renew_ms", "ms", count<section, &PlacementT::slotRenewMs>(100, kHourMs),
+        "A router names the slots it holds this often; they end after three times as long.");
+    add("takeover_limit_ms", "ms", count<section, &PlacementT::takeoverLimitMs>(0, kMinuteMs),
+        "Longest wait of a new home router for the other routers' holdings.");
+    add("engine_queue", "share", ratio<section, &PlacementT::engineQueue>(0.0F, 10.0F),
+        "Requests that may wait on an engine, as a share of its slots; at least one.");
+    add("spill_asks", "engines", count<section, &PlacementT::spillAsks>(1, 100),
+        "Engines that are asked at once after the first one was full.");
+    add("max_asks", "engines", count<section, &PlacementT::maxAsks>(1, 1000),
+        "Engines that one request may wait for.");
+    add("kv_import_tokens", "tokens", count<section, &PlacementT::kvImportTokens>(1, 10000000),
+        "Prompts of this length or more import their KV cache when they are moved.");
 }
 
 void appendAdmission(Table &table)
@@ -151,6 +164,10 @@
         "Work that has generated this many tokens counts as long.");
     add("request_timeout_ms", "ms", count<section, &AdmissionT::requestTimeoutMs>(100, kHourMs),
         "Longest time of a chat request that states none itself.");
+    add("search_window", "requests", count<section, &AdmissionT::searchWindow>(1, 10000),
+        "Requests over their customer's share that may wait for slots at once, by model.");
+    add("long_wait_factor", "", ratio<section, &AdmissionT::longWaitFactor>(1.0F, 1000.0F),
+        "Long work may wait this many times its contracted time to the first token.");
 }
 
 void appendHealth(Table &table)
@@ -169,6 +186,10 @@
         "Hedges, as a share of requests.");
     add("retry_budget", "share", ratio<section, &HealthT::retryBudget>(0.0F, 1.0F),
         "Retries, as a share of requests of a plan.");
+    add("eject_ms", "ms", count<section, &HealthT::ejectMs>(1, kHourMs),
+        "First ejection of an engine; doubled up to eight times while it recurs.");
+    add("return_ramp_ms", "ms", count<section, &HealthT::returnRampMs>(1, kHourMs),
+        "Time in which an ejected engine gets a growing part of its load.");
 }
 
 void appendQuarantine(Table &table)
--- a/tests/chatparttest.cpp
+++ b/tests/chatparttest.cpp
@@ -51,8 +51,8 @@
         CPPUNIT_ASSERT(second.backend != first.backend);
         CPPUNIT_ASSERT_EQUAL(Tokens(7), second.resumeAt);
         bench.progress(second, 1);
-        bench.end(second, AttemptEnd::BrokenInAnswer, 4);
-        CPPUNIT_ASSERT_EQUAL(Tokens(11), bench.lastSent("r1").resumeAt);
+        bench.end(second, AttemptEnd::BrokenInAnswer, 40);
+        CPPUNIT_ASSERT_EQUAL(Tokens(47), bench.lastSent("r1").resumeAt);
     }
 
     void callerThatLeftHasItsAttemptCancelled()
@@ -62,6 +62,8 @@
         bench.handle(CallerLeft{RequestId("r1")});
         CPPUNIT_ASSERT(bench.cancelled(bench.lastSent("r1").attempt));
         CPPUNIT_ASSERT(bench.answers("r1").empty());
+        CPPUNIT_ASSERT(!bench.part.isIdle());
+        bench.end(bench.lastSent("r1"), AttemptEnd::Cancelled, 0);
         CPPUNIT_ASSERT(bench.part.isIdle());
     }
 
--- a/tests/settingsfiletest.cpp
+++ b/tests/settingsfiletest.cpp
@@ -87,11 +87,12 @@
     {
         const std::string text = minimal()
             + "[membership]\ngossip_fanout = 0\nheartbeat_interval_ms = \"often\"\n"
-              "[placement]\npolicy = \"random\"\nload_multiple = 0.5\n";
+              "[placement]\npolicy = \"nearest\"\nload_multiple = 0.5\n";
         const std::string expected =
             "router.toml:10: membership.gossip_fanout: 0 is not in the range of 1 to 16\n"
             "router.toml:11: membership.heartbeat_interval_ms: must be a whole number\n"
-            "router.toml:13: placement.policy: \"random\" is none of \"bounded-affinity\"\n"
+            "router.toml:13: placement.policy: \"nearest\" is none of \"bounded-affinity\", "
+            "\"hash-only\", \"round-robin\", \"random\", \"p2c\", \"least-reported-load\"\n"
             "router.toml:14: placement.load_multiple: 0.5 is not in the range of 1 to 10";
         CPPUNIT_ASSERT_EQUAL(expected, faultsOf(text));
     }
--- a/tools/comfrey-load/answercheck.cpp
+++ b/tools/comfrey-load/answercheck.cpp
@@ -44,6 +44,10 @@
         return;
     }
     const nlohmann::json event = nlohmann::json::parse(data, nullptr, false);
+    if (event.is_object() && event.contains("error") && event.at("error").is_object()) {
+        m_errorCode = event.at("error").value("code", "none");
+        return;
+    }
     if (!event.is_object() || !event.contains("choices")) {
         setFault(AnswerFault::Wrong);
         return;
--- a/tools/comfrey-load/answercheck.h
+++ b/tools/comfrey-load/answercheck.h
@@ -37,6 +37,8 @@
     {
         return m_isDone && m_tokens == m_answerTokens && m_fault == AnswerFault::None;
     }
+    /// The code of the error event that ended the stream; empty if none did.
+    const std::string &errorCode() const { return m_errorCode; }
     Tokens tokens() const { return m_tokens; }
     Tokens cachedTokens() const { return m_cachedTokens; }
     SteadyTime firstToken() const { return m_firstToken; }
@@ -53,6 +55,7 @@
     std::string m_id;
     std::string m_rest;                      ///< Bytes of an event that is not complete.
     AnswerFault m_fault = AnswerFault::None; ///< The first one.
+    std::string m_errorCode;
     bool m_isDone = false;
     Tokens m_tokens = 0; ///< Also the position of the next token.
     Tokens m_cachedTokens = 0;
--- a/tools/comfrey-load/caller.cpp
+++ b/tools/comfrey-load/caller.cpp
@@ -40,6 +40,8 @@
         return SampleEnd::Wrong;
     if (check.isWhole())
         return SampleEnd::Answered;
+    if (!check.errorCode().empty())
+        return SampleEnd::Failed;
     return error == httplib::Error::Success ? SampleEnd::Short : SampleEnd::Broken;
 }
 
@@ -120,6 +122,7 @@
             check.takeWhole(response.body, std::chrono::steady_clock::now());
     }
     sample.end = endOf(check, error);
+    sample.code = check.errorCode();
     if (sample.status != 0 && sample.status != kOk) {
         sample.end = SampleEnd::Refused;
         sample.code = errorCode(errorBody);
--- a/tools/comfrey-load/report.cpp
+++ b/tools/comfrey-load/report.cpp
@@ -41,6 +41,8 @@
         return "answered";
     case SampleEnd::Refused:
         return "refused";
+    case SampleEnd::Failed:
+        return "failed";
     case SampleEnd::Short:
         return "short";
     case SampleEnd::Foreign:
--- a/tools/comfrey-load/sample.h
+++ b/tools/comfrey-load/sample.h
@@ -12,6 +12,7 @@
 enum class SampleEnd : std::uint8_t {
     Answered, ///< Whole and checked.
     Refused,  ///< An error answer.
+    Failed,   ///< The stream ended with an error event.
     Short,    ///< The answer ended before its end.
     Foreign,  ///< It held another request's tokens.
     Wrong,    ///< It held lost, repeated or reordered tokens.
--- a/tools/run/libfleet.sh
+++ b/tools/run/libfleet.sh
@@ -111,13 +111,14 @@
 
 stopFleet() {
     local name pids=()
+    set +e
     exec 2>/dev/null # the shell's notes about ended jobs
     for name in "${!fleetPids[@]}"; do
         kill -CONT "${fleetPids[$name]}" 2>/dev/null
         kill -KILL "${fleetPids[$name]}" 2>/dev/null
         pids+=("${fleetPids[$name]}")
     done
-    [ ${#pids[@]} -gt 0 ] && wait "${pids[@]}" 2>/dev/null
+    [ ${#pids[@]} -gt 0 ] && wait "${pids[@]}" || true
     fleetPids=()
 }
 trap stopFleet EXIT
