--- a/src/outcome/claimtable.cpp
+++ b/src/outcome/claimtable.cpp
@@ -42,6 +42,7 @@
 
 void ClaimTable::apply(LogOffset offset, const record::RecordT &record)
 {
+    m_foldedTo = offset;
     for (const auto &item : record.items) {
         if (item == nullptr)
             continue;
@@ -71,6 +72,8 @@
 
 std::optional<Verdict> ClaimTable::verdictOn(const record::ClaimT &claim) const
 {
+    if (claim.basedOn > m_foldedTo.value())
+        return std::nullopt;
     const ClaimState *state = find(keyOf(claim));
     if (state == nullptr) {
         if (covers(claim))
@@ -86,6 +89,8 @@
 
 std::optional<Verdict> ClaimTable::verdictOn(const record::ClaimOutcomeT &outcome) const
 {
+    if (outcome.claimOffset > m_foldedTo.value())
+        return std::nullopt;
     const ClaimState *state = find(keyOf(outcome));
     const bool holds = state != nullptr && state->offset.value() == outcome.claimOffset;
     if (holds && !state->outcome)
