--- a/src/outcome/claimsubmitter.cpp
+++ b/src/outcome/claimsubmitter.cpp
@@ -4,8 +4,8 @@
 #include <algorithm>
 
 #include <nlohmann/json.hpp>
-#include <xxhash.h>
 
+#include "outcome/routerrank.h"
 #include "outcome/verdictmessage.h"
 #include "wire/envelope.h"
 
@@ -21,36 +21,6 @@
 /// A starting router knows only itself; it learns of the others before it follows by its rank.
 constexpr Duration kSettleTime = milliseconds(2000);
 
-std::uint64_t weightOf(const RouterId &router, std::uint32_t partition)
-{
-    return XXH64(router.value().data(), router.value().size(), partition);
-}
-
-std::vector<RouterId> ranked(const std::vector<RouterId> &routers, std::uint32_t partition)
-{
-    std::vector<std::pair<std::uint64_t, RouterId>> weighted;
-    weighted.reserve(routers.size());
-    for (const RouterId &router : routers)
-        weighted.emplace_back(weightOf(router, partition), router);
-    const auto kept = std::min(kFollowers, weighted.size());
-    std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(kept),
-                      weighted.end(), std::greater<>());
-    std::vector<RouterId> ranks;
-    for (std::size_t at = 0; at < kept; ++at)
-        ranks.push_back(weighted[at].second);
-    return ranks;
-}
-
-std::vector<RouterId> aliveRouters(const FleetView &fleet)
-{
-    std::vector<RouterId> routers;
-    for (const RouterView &router : fleet.routers()) {
-        if (router.state == RouterState::Alive)
-            routers.push_back(router.id);
-    }
-    return routers;
-}
-
 Bytes encodedItem(const ClaimLog::Item &item)
 {
     record::RecordT record;
@@ -256,10 +226,9 @@
     if (!m_isRanked || m_ranksVersion != m_context.fleet.version()) {
         m_isRanked = true;
         m_ranksVersion = m_context.fleet.version();
-        const std::vector<RouterId> routers = aliveRouters(m_context.fleet);
         m_ranks.clear();
         for (std::uint32_t partition = 0; partition < partitionCount(); ++partition)
-            m_ranks.push_back(ranked(routers, partition));
+            m_ranks.push_back(rankedRouters(m_context.fleet, partition, kFollowers));
     }
     followRanked(now);
 }
--- a/src/outcome/claimtable.h
+++ b/src/outcome/claimtable.h
@@ -86,7 +86,7 @@
     bool covers(const record::ClaimT &claim) const;
 
     std::unordered_map<ClaimKey, ClaimState> m_claims;
-    LogOffset m_foldedTo; ///< The last record that was applied.
+    LogOffset m_foldedTo;      ///< The last record that was applied.
     UnixMs m_floor = 0;        ///< Every claim of a key issued at or after it is in m_claims.
     bool m_opaqueKnown = true; ///< Every claim of an opaque key ever made is in m_claims.
 };
