Chats: an answer that went on at another engine is whole

Cause: ./run demo ended 2 of 157 streams with an error event after an engine was killed. The engine counts completion tokens from the position where it was asked to begin; the router compared that with all tokens delivered, took the resumed answer for a broken one, and quarantine then refused the request. Ruled out: lost tokens (positions were whole).

--- a/src/daemon/chatsender.cpp
+++ b/src/daemon/chatsender.cpp
@@ -113,7 +113,9 @@
     const std::string id = event.value("id", "");
     if (const auto usage = event.find("usage"); usage != event.end() && usage->is_object()) {
         m_summary.promptTokens = usage->value("prompt_tokens", Tokens{0});
-        m_summary.completionTokens = usage->value("completion_tokens", Tokens{0});
+        // The engine counts from the position where it was asked to begin.
+        m_summary.completionTokens =
+            m_order.resumeAt + usage->value("completion_tokens", Tokens{0});
         m_summary.cachedTokens = usage->value("cached_tokens", Tokens{0});
     }
     const std::string text = contentOf(choice);
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -33,7 +33,7 @@
     std::string body; ///< Of a service call.
     std::string contentType;
     Tokens promptTokens = 0;
-    Tokens completionTokens = 0;
+    Tokens completionTokens = 0; ///< Of the whole answer, over all attempts.
     Tokens cachedTokens = 0;
 };
 
