Claims: refused at once during an outage of the log

Cause: each call waited outcome.claim_timeout_ms for a log that had not answered for long. Conclusion: a quick and true "not run".

--- a/src/outcome/claimlog.cpp
+++ b/src/outcome/claimlog.cpp
@@ -15,6 +15,7 @@
 constexpr Duration kReadTimeout = milliseconds(15000);  ///< A read that long is given out again.
 constexpr Duration kReadRetry = milliseconds(200);      ///< After a failed read.
 constexpr Duration kReadPause = milliseconds(20);       ///< Between reads that brought nothing.
+constexpr Duration kOutageAfter = milliseconds(1000); ///< Of failed reads; then claims end at once.
 constexpr Duration kPruneInterval = milliseconds(10000);
 constexpr Duration kOutcomeKept = milliseconds(30000); ///< Pending outcome of another router.
 constexpr UnixMs kClockSkewMs = 60000; ///< Most that clocks of callers and routers differ.
@@ -53,6 +54,10 @@
         m_decisions.push_back({m_partition, id, isOutcome, std::move(*verdict)});
         return;
     }
+    if (!isOutcome && isInOutage(now)) {
+        m_decisions.push_back({m_partition, id, false, {VerdictKind::Unavailable, {}}});
+        return;
+    }
     const TimePoint appendAt = duty == Duty::Append ? now : kNever;
     const auto [added, isNew] = m_pending.try_emplace(
         PendingId{id, isOutcome}, Pending{item, giveUpTime(id, isOutcome, now), appendAt});
@@ -61,6 +66,12 @@
         pending.appendAt = std::min(pending.appendAt, appendAt);
 }
 
+/// A claim that was never appended may be refused without waiting for the log.
+bool ClaimLog::isInOutage(TimePoint now) const
+{
+    return m_failing && now >= m_failingSince + kOutageAfter;
+}
+
 TimePoint ClaimLog::giveUpTime(const ClaimId &id, bool isOutcome, TimePoint now) const
 {
     if (!isOutcome)
@@ -161,6 +172,8 @@
 void ClaimLog::onLogReadFailed(TimePoint now)
 {
     m_reading = false;
+    if (!m_failing)
+        m_failingSince = now;
     m_failing = true;
     m_nextReadAt = now + kReadRetry;
 }
--- a/src/outcome/claimlog.h
+++ b/src/outcome/claimlog.h
@@ -81,6 +81,7 @@
     };
 
     TimePoint giveUpTime(const ClaimId &id, bool isOutcome, TimePoint now) const;
+    bool isInOutage(TimePoint now) const;
     void applyRecord(const LogRecord &logRecord);
     void reportWonClaims(const record::RecordT &record);
     void restartAfterGap(const LogRead &read, TimePoint now);
@@ -107,6 +108,7 @@
     TimePoint m_readAt; ///< When the read in flight, or the last one, was given out.
     TimePoint m_nextReadAt;
     bool m_failing = false;
+    TimePoint m_failingSince; ///< Of the first failed read in a row.
     TimePoint m_nextPruneAt;
     TimePoint m_lastUsed;
 };
--- a/tests/atmostoncetest.cpp
+++ b/tests/atmostoncetest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(truckCallRetriedAfterRouterDiedRunsOnceAndOtherKeeperIsServed);
     CPPUNIT_TEST(familiesRetryingAfterLostAppendAnswersPayOnceEach);
     CPPUNIT_TEST(callDuringLogOutageIsNotRunAndNeverRunsLater);
+    CPPUNIT_TEST(callLongIntoLogOutageIsNotRunAtOnce);
     CPPUNIT_TEST(claimAppendedAfterItWasGivenUpFreesTheKey);
     CPPUNIT_TEST(keyWithOtherBodyIsRefused);
     CPPUNIT_TEST(callWithoutKeyIsRefused);
@@ -93,6 +94,20 @@
         CPPUNIT_ASSERT_EQUAL(0U, runs("c1", key("a")));
     }
 
+    void callLongIntoLogOutageIsNotRunAtOnce()
+    {
+        fleet.log().faults().down = true;
+        fleet.runFor(milliseconds(4000));
+        const RequestId call = fleet.submit("r1", callRequest("c1", key("a")));
+        fleet.runFor(milliseconds(50));
+        CPPUNIT_ASSERT(error(call) == CallerError::LogUnavailable);
+        fleet.log().faults().down = false;
+        fleet.runFor(milliseconds(5000));
+        const RequestId retry = fleet.submit("r1", callRequest("c1", key("a")));
+        fleet.runFor(milliseconds(1000));
+        CPPUNIT_ASSERT(told(retry) == Outcome::Answered);
+    }
+
     void claimAppendedAfterItWasGivenUpFreesTheKey()
     {
         fleet.log().faults().lateAppends = 1;
--- a/tests/support/callschedule.cpp
+++ b/tests/support/callschedule.cpp
@@ -195,7 +195,7 @@
         CallerRequest request = callRequest("c1", key);
         if (otherBody)
             request.fingerprint = Fingerprint(request.fingerprint.value() + 1);
-        const RequestId id = m_fleet.submit(router, request);
+        RequestId id = m_fleet.submit(router, request);
         note("call " + id.value() + " of " + key + " at " + router);
         return id;
     }
