Build: one compiler cache for all checkouts

Cause: the cache missed in a fresh clone, since paths differ. Change: base folder and no folder hash. Measured: not yet.

--- a/tools/run/libsetup.sh
+++ b/tools/run/libsetup.sh
@@ -4,6 +4,9 @@
 libgoogle-glog-dev libexpected-dev libcppunit-dev libflatbuffers-dev libxxhash-dev
 nlohmann-json3-dev librapidcheck-dev libssl-dev"
 
+# The compiler cache serves every checkout of the project, whatever its folder.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
+
 # Installs the packages that are not there yet; needs root only then.
 installPackages() {
     local missing=""
