Calls: outcomes by name in the dump, a caller's time limit on repeatable calls

Cause: numbers in the dump need the header to be read; a repeatable call ran on past its caller's limit; each event built the names of all followed streams. Change: names; the shorter limit; names only for events of the log.

--- a/src/calls/callpart.cpp
+++ b/src/calls/callpart.cpp
@@ -34,6 +34,19 @@
     return note.dump();
 }
 
+const char *nameOf(Outcome outcome)
+{
+    switch (outcome) {
+    case Outcome::Answered:
+        return "answered";
+    case Outcome::NotRun:
+        return "notRun";
+    case Outcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
 std::uint64_t requestHash(const CallerRequest &detail)
 {
     const std::string &service = detail.service.value();
@@ -91,6 +104,7 @@
                       "service " + quoted(detail.service.value()) + " has no replica");
     }
     if (call.mayRepeat) {
+        call.timeout = std::min(call.timeout, detail.callerTimeout.value_or(call.timeout));
         m_retryBudget =
             std::min(m_retryBudget + m_context.settings.health.retryBudget, kRetryBurst);
         const auto placed = m_calls.insert_or_assign(call.request, std::move(call)).first;
@@ -453,7 +467,7 @@
     out["abandonedClaims"] = m_abandoned.size();
     out["unrecordedOutcomes"] = m_unrecorded.size();
     for (const auto &[outcome, count] : m_outcomes)
-        out["outcomes"][std::to_string(static_cast<int>(outcome))] = count;
+        out["outcomes"][nameOf(outcome)] = count;
     m_replicas.dump(out["replicas"]);
     m_submitter.dump(out["claims"]);
 }
--- a/src/outcome/claimsubmitter.cpp
+++ b/src/outcome/claimsubmitter.cpp
@@ -128,17 +128,15 @@
 void ClaimSubmitter::onEvent(const Event &event, TimePoint now, Outbox &out)
 {
     rankPartitions(now);
-    for (auto &[partition, log] : m_logs) {
-        const StreamId stream = claimStream(partition);
-        if (const auto *read = std::get_if<LogRead>(&event); read != nullptr) {
-            if (read->stream == stream)
-                log->onLogRead(*read, now);
-        } else if (const auto *failed = std::get_if<LogReadFailed>(&event); failed != nullptr) {
-            if (failed->stream == stream)
-                log->onLogReadFailed(now);
-        } else if (const auto *answer = std::get_if<AppendAnswered>(&event); answer != nullptr) {
+    if (const auto *read = std::get_if<LogRead>(&event)) {
+        if (ClaimLog *log = logOf(read->stream))
+            log->onLogRead(*read, now);
+    } else if (const auto *failed = std::get_if<LogReadFailed>(&event)) {
+        if (ClaimLog *log = logOf(failed->stream))
+            log->onLogReadFailed(now);
+    } else if (const auto *answer = std::get_if<AppendAnswered>(&event)) {
+        if (ClaimLog *log = logOf(answer->stream))
             log->onAppendAnswered(*answer, now);
-        }
     }
     advanceLogs(now, out);
     sendDue(now, out);
@@ -255,6 +253,16 @@
     return *log;
 }
 
+/// Null for a stream that is no followed partition's.
+ClaimLog *ClaimSubmitter::logOf(const StreamId &stream)
+{
+    for (auto &[partition, log] : m_logs) {
+        if (claimStream(partition) == stream)
+            return log.get();
+    }
+    return nullptr;
+}
+
 bool ClaimSubmitter::follows(std::uint32_t partition) const
 {
     return m_logs.contains(partition);
--- a/src/outcome/claimsubmitter.h
+++ b/src/outcome/claimsubmitter.h
@@ -65,6 +65,7 @@
     void advanceLogs(TimePoint now, Outbox &out);
     void rankPartitions(TimePoint now);
     ClaimLog &logOf(std::uint32_t partition, TimePoint now);
+    ClaimLog *logOf(const StreamId &stream);
     bool follows(std::uint32_t partition) const;
     bool isRanked(std::uint32_t partition) const;
     void followRanked(TimePoint now);
