--- a/tools/comfrey-load/report.cpp
+++ b/tools/comfrey-load/report.cpp
@@ -181,7 +181,7 @@
         nlohmann::json sum = {{"calls", 0}, {"keys", 0}, {"repeats", 0}};
         for (const Endpoint &service : m_facts.services) {
             const auto client = makeHttpClient(service, HttpClientOptions());
-            const httplib::Result result = client->Get(path.c_str());
+            const httplib::Result result = client->Get(path);
             if (!result)
                 continue;
             const nlohmann::json answer = nlohmann::json::parse(result->body, nullptr, false);
--- a/tools/standin-engine/engineserver.cpp
+++ b/tools/standin-engine/engineserver.cpp
@@ -169,6 +169,8 @@
                     {"role", orders.role},
                     {"newest_order", orders.newestOrder},
                     {"cache_events", std::move(events)}});
+        ++m_reports;
+        m_reportBytes += response.body.size();
     });
     m_server.routes().Get("/truth", [this](const auto &request, auto &response) {
         const SchedulerCounts counts = m_scheduler.takeHighestLoad();
--- a/tools/standin-engine/engineserver.h
+++ b/tools/standin-engine/engineserver.h
@@ -1,6 +1,7 @@
 // The HTTP interface of the stand-in of a model engine; docs/STANDINS.md lists its calls.
 #pragma once
 
+#include <atomic>
 #include <string>
 #include <thread>
 #include <vector>
@@ -54,6 +55,8 @@
     OrderBook m_orders;
     LoadHistory m_history;
     Scheduler m_scheduler;
+    std::atomic<std::uint64_t> m_reportBytes = 0; ///< Bodies of answered load reports.
+    std::atomic<std::uint64_t> m_reports = 0;
     HttpServer m_server;
     std::jthread m_sampler; ///< Last, so that it ends before what it uses.
 };
--- a/tools/standin-platform/instancelist.cpp
+++ b/tools/standin-platform/instancelist.cpp
@@ -35,7 +35,8 @@
     nlohmann::json list = nlohmann::json::array();
     for (const auto &[id, instance] : m_instances)
         list.push_back(instance);
-    m_versions.push_back(Version{std::chrono::steady_clock::now(), std::move(list)});
+    m_versions.push_back(
+        Version{std::chrono::steady_clock::now(), std::move(list), ++m_lastNumber});
     if (m_versions.size() > kVersionsKept)
         m_versions.pop_front();
 }
@@ -46,9 +47,9 @@
     const std::lock_guard lock(m_mutex);
     for (auto version = m_versions.rbegin(); version != m_versions.rend(); ++version) {
         if (version->since <= newest)
-            return {{"instances", version->instances}};
+            return {{"instances", version->instances}, {"version", version->number}};
     }
-    return {{"instances", nlohmann::json::array()}};
+    return {{"instances", nlohmann::json::array()}, {"version", 0}};
 }
 
 } // namespace comfrey::standin
--- a/tools/standin-platform/instancelist.h
+++ b/tools/standin-platform/instancelist.h
@@ -18,7 +18,7 @@
     void put(const std::string &id, nlohmann::json instance);
     /// False if there was none.
     bool remove(const std::string &id);
-    /// {"instances":[...]} as of `lag` ago.
+    /// {"instances":[...],"version":N} as of `lag` ago.
     nlohmann::json read(std::chrono::milliseconds lag);
 
 private:
@@ -26,6 +26,7 @@
     {
         std::chrono::steady_clock::time_point since;
         nlohmann::json instances;
+        std::uint64_t number = 0; ///< Grows with each change.
     };
 
     void remember();
@@ -33,6 +34,7 @@
     std::mutex m_mutex;
     std::map<std::string, nlohmann::json> m_instances; ///< The newest state.
     std::deque<Version> m_versions;                    ///< Oldest first.
+    std::uint64_t m_lastNumber = 0;
 };
 
 } // namespace comfrey::standin
--- a/tools/standin-platform/platformserver.cpp
+++ b/tools/standin-platform/platformserver.cpp
@@ -114,8 +114,16 @@
 
 void PlatformServer::addInstanceRoutes()
 {
-    m_server.routes().Get("/instances", [this](const auto &, auto &response) {
-        answerJson(response, 200, m_instances.read(m_faults.current().instancesLag));
+    m_server.routes().Get("/instances", [this](const auto &request, auto &response) {
+        const nlohmann::json list = m_instances.read(m_faults.current().instancesLag);
+        ++m_listReads;
+        if (request.has_param("unless_version")
+            && numberParameter(request, "unless_version", 0) == list.at("version")) {
+            response.status = 304;
+            return;
+        }
+        answerJson(response, 200, list);
+        m_listBytes += response.body.size();
     });
     m_server.routes().Put(R"(/instances/([A-Za-z0-9._-]+))",
                           [this](const auto &request, auto &response) {
@@ -174,7 +182,9 @@
     });
     m_server.routes().Get("/counters", [this](const auto &, auto &response) {
         answerJson(response, 200,
-                   {{"streams", m_log.counters()}, {"weights", m_weights.counters()}});
+                   {{"streams", m_log.counters()},
+                    {"weights", m_weights.counters()},
+                    {"instances", {{"reads", m_listReads.load()}, {"bytes", m_listBytes.load()}}}});
     });
 }
 
--- a/tools/standin-platform/platformserver.h
+++ b/tools/standin-platform/platformserver.h
@@ -1,6 +1,8 @@
 // The HTTP interface of the stand-in of the platform; docs/STANDINS.md lists its calls.
 #pragma once
 
+#include <atomic>
+
 #include "common/httpserver.h"
 #include "standin-platform/faults.h"
 #include "standin-platform/instancelist.h"
@@ -40,6 +42,8 @@
     LogStore m_log;
     InstanceList m_instances;
     WeightStore m_weights;
+    std::atomic<std::uint64_t> m_listReads = 0;
+    std::atomic<std::uint64_t> m_listBytes = 0; ///< Bodies of answered lists of instances.
     HttpServer m_server; ///< Last, so that its threads end before what they use.
 };
 
