./run measure: control traffic of messages, reports, lists and records

Cause: the row read a field that no dump has, and showed 0. Change: bytes of messages from the routers' dumps, of reports and lists from the stand-ins' counters, bodies only. Conclusion: the row is measured.

--- a/tools/run/libmeasure.sh
+++ b/tools/run/libmeasure.sh
@@ -83,6 +83,18 @@
     done >"$2"
 }
 
+# controlBytes: bodies of load reports, instance lists and log records that the stand-ins answered.
+controlBytes() {
+    local address
+    {
+        curl -sf "http://$platform/counters"
+        for address in $(printf '%s\n' "${loadArguments[@]}" | grep -A1 '^--engine$' | grep '^127'); do
+            curl -sf "http://$address/truth"
+        done
+    } | jq -s '[.[] | (.report_bytes // 0) + (.instances.bytes // 0)
+        + ([.streams // {} | .[] | .bytes_read + .bytes_appended] | add // 0)] | add'
+}
+
 # balanceOf FILE: highest load of an engine over the mean, and over the bound of 1.25 times the mean
 # rounded up plus one slot, at the worst moment with at least one request an engine on the mean.
 balanceOf() {
@@ -102,6 +114,8 @@
     local user=$1 policy=$2 seed=$3 workload=$4 begin end
     local base="$measureDir/$user.$policy.$workload.$seed"
     begin=$(date +%s%6N)
+    local controlBefore
+    controlBefore=$(controlBytes)
     routerDumps "$fleetDir/dump-before.json"
     loadTool "workloads/$user.toml" "workloads/$workload.toml" "${loadArguments[@]}" --seed "$seed" \
         --time-scale "$scale" --json "$base.load" >"$fleetDir/load.out" 2>"$fleetDir/load.log" \
@@ -110,11 +124,12 @@
     routerDumps "$fleetDir/dump-after.json"
     engineTruth "$begin" "$fleetDir/truth.json"
     jq -n --arg user "$user" --arg policy "$policy" --arg workload "$workload" --argjson seed "$seed" \
+        --argjson control "$(($(controlBytes) - controlBefore))" --argjson routers "${#fleetRouters[@]}" \
         --argjson seconds "$(((end - begin) / 1000))" \
         --slurpfile load "$base.load" --argjson balance "$(balanceOf "$fleetDir/truth.json")" \
         --slurpfile before "$fleetDir/dump-before.json" --slurpfile after "$fleetDir/dump-after.json" \
         '{user: $user, policy: $policy, workload: $workload, seed: $seed, balance: $balance,
-          seconds: ($seconds / 1000), load: $load[0],
+          seconds: ($seconds / 1000), control_bytes: $control, routers: $routers, load: $load[0],
           dump_before: $before, dump_after: $after}' >"$base.json"
     rm -f "$base.load"
     echo "  $user $policy $workload seed=$seed:" \
--- a/tools/run/measuretable.jq
+++ b/tools/run/measuretable.jq
@@ -3,7 +3,6 @@
 def over($base): if $base > 0 then . / $base else null end;
 def median: sort | if length == 0 then null else .[(length - 1) / 2 | floor] end;
 def spread: if length < 2 then "" else "\(min | round3)..\(max | round3)" end;
-def bytesSent: [.. | objects | .bytes_sent? // empty | numbers] | add // 0;
 
 # Values of one measure by run: {user, policy, seed, value}.
 def runs($workload): map(select(.workload == $workload));
@@ -19,9 +18,11 @@
     map(select(.value != null)) | group_by([.user, .policy])
     | map({user: .[0].user, policy: .[0].policy, measure: $measure, target: $target,
            value: (map(.value) | median | round3), spread: (map(.value) | spread)});
+# Bytes a second: the messages of the router that sent most, and a router's mean part of reports,
+# lists and records; bodies only.
 def controlRate:
-    (.seconds as $seconds | [.dump_before, .dump_after] | transpose
-        | map((.[1] | bytesSent) - (.[0] | bytesSent)) | max // 0 | . / $seconds);
+    (([.dump_before, .dump_after] | transpose | map(.[1].messages.bytesSent - .[0].messages.bytesSent)
+        | max // 0) + .control_bytes / .routers) / .seconds;
 
 map(select(.workload != null)) as $runs
 | (map(select(.routertime != null)) | first) as $router
