--- a/src/config/configpart.cpp
+++ b/src/config/configpart.cpp
@@ -4,6 +4,10 @@
 #include <algorithm>
 
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include "config/snapshot.h"
+#include "wire/envelope.h"
 
 #include "config/snapshot.h"
 #include "config/tailers.h"
@@ -21,6 +25,15 @@
     return stream;
 }
 
+/// Equal for equal lists, so that operators and tests can compare routers.
+std::string digestOf(const Lists &lists)
+{
+    ConfigState state;
+    state.lists = lists;
+    const Bytes encoded = encodeRecord(snapshotOf(state, ""));
+    return std::to_string(XXH3_64bits(encoded.data(), encoded.size()));
+}
+
 } // namespace
 
 ConfigPart::ConfigPart(const PartContext &context)
@@ -168,6 +181,7 @@
     out["revision"] = lists().revision.value();
     out["offset"] = offset().value();
     out["loaded"] = isLoaded();
+    out["digest"] = digestOf(lists());
     out["tailing"] = m_tailingRank.has_value();
     out["confirmedAgeMs"] = (now - confirmedAt(now)) / milliseconds(1);
     out["lacksRecords"] = m_follower.lacksRecords();
