--- a/tests/support/scenario.h
+++ b/tests/support/scenario.h
@@ -94,6 +94,8 @@
     void scheduleExpectations(const toml::array &list);
     void expect(const std::string &measure, const std::string &group, double least, double most);
     double valueOf(const std::string &measure, const std::string &group);
+    /// The texts of the group's answers, with their numbers.
+    std::string answersOf(const std::string &group) const;
     void checkPromises();
     void watchConfig();
     void noteUnread(const ScenarioTable &table, const std::string &where);
