--- a/src/placement/slotexchange.cpp
+++ b/src/placement/slotexchange.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr Duration kRepeatInterval = milliseconds(1000);
+constexpr Duration kHoldingRepeatInterval = milliseconds(300);
+constexpr int kHoldingRepeats = 3;
 
 } // namespace
 
@@ -72,6 +74,22 @@
             own.home = home;
     }
     sendHolding(backend, home, false, now, out);
+    engine.holdingRepeats = home == m_context.fleet.self() ? 0 : kHoldingRepeats;
+    m_repeatHoldingsAt = std::min(m_repeatHoldingsAt, now + kHoldingRepeatInterval);
+}
+
+void SlotExchange::repeatHoldings(TimePoint now, Outbox &out)
+{
+    if (now < m_repeatHoldingsAt)
+        return;
+    m_repeatHoldingsAt = kNever;
+    for (auto &[backend, engine] : m_engines) {
+        if (engine.holdingRepeats == 0)
+            continue;
+        sendHolding(backend, engine.home, false, now, out);
+        if (--engine.holdingRepeats != 0)
+            m_repeatHoldingsAt = now + kHoldingRepeatInterval;
+    }
 }
 
 void SlotExchange::dropAsks(const BackendId &backend)
@@ -338,6 +356,7 @@
     followFleet(now, out);
     endLateAsks(now, out);
     repeatQueuedAsks(now, out);
+    repeatHoldings(now, out);
     renew(now, out);
     m_home.tick(now);
     deliverAnswers(now, out);
@@ -345,7 +364,8 @@
 
 TimePoint SlotExchange::nextWakeUp() const
 {
-    return std::min({m_home.nextWakeUp(), m_renewAt, m_nextTimeout, m_repeatAt});
+    return std::min(
+        {m_home.nextWakeUp(), m_renewAt, m_nextTimeout, m_repeatAt, m_repeatHoldingsAt});
 }
 
 void SlotExchange::dump(nlohmann::json &out, TimePoint now) const
--- a/src/placement/slotexchange.h
+++ b/src/placement/slotexchange.h
@@ -83,6 +83,7 @@
         std::uint32_t held = 0;
         std::uint32_t lastLimit = 0;
         std::uint32_t lastInFlight = 0;
+        int holdingRepeats = 0; ///< Still to be sent to a new home, since one may be lost.
     };
 
     void followFleet(TimePoint now, Outbox &out);
@@ -91,6 +92,7 @@
     void dropAsks(const BackendId &backend);
     void sendHolding(const BackendId &backend, const RouterId &to, bool moved, TimePoint now,
                      Outbox &out);
+    void repeatHoldings(TimePoint now, Outbox &out);
     void renew(TimePoint now, Outbox &out);
     void sendAsk(AttemptId attempt, const Own &own, TimePoint now, Outbox &out);
     void endLateAsks(TimePoint now, Outbox &out);
@@ -114,6 +116,7 @@
     TimePoint m_renewAt = kNever;
     TimePoint m_nextTimeout = kNever;
     TimePoint m_repeatAt = kNever;
+    TimePoint m_repeatHoldingsAt = kNever;
 };
 
 } // namespace comfrey
--- a/src/placement/slothome.cpp
+++ b/src/placement/slothome.cpp
@@ -106,8 +106,7 @@
         return true;
     const auto &routers = m_context.fleet.routers();
     return std::all_of(routers.begin(), routers.end(), [this, &engine](const RouterView &router) {
-        return router.state != RouterState::Alive || router.id == m_context.fleet.self()
-            || engine.heardFrom.count(router.id) != 0;
+        return router.id == m_context.fleet.self() || engine.heardFrom.count(router.id) != 0;
     });
 }
 
--- a/src/placement/slothome.h
+++ b/src/placement/slothome.h
@@ -1,9 +1,10 @@
 // The home router's side of slots: one exact queue for each engine. A slot is the right to have one
 // request in flight on the engine, so its load is bounded by arithmetic.
 //
-// A router that becomes home of an engine grants nothing before every router of its view has told
-// it what it holds, and a router that has told it uses no slot of the former home any more. So the
-// former and the new home together never grant more than the limit.
+// A router that becomes home of an engine grants nothing before every router of its view, suspects
+// too, has told it what it holds, or placement.takeover_limit_ms has passed. And a router that has
+// told it uses no slot of the former home any more. So the former and the new home together never
+// grant more than the limit.
 #pragma once
 
 #include <cstdint>
--- a/tests/support/chatbench.cpp
+++ b/tests/support/chatbench.cpp
@@ -49,6 +49,12 @@
     ++m_version;
 }
 
+void FixedFleet::removeRouter(const RouterId &id)
+{
+    std::erase_if(m_routers, [&id](const RouterView &view) { return view.id == id; });
+    ++m_version;
+}
+
 void FixedFleet::setEngineState(int index, BackendState state)
 {
     m_backends.at(index).state = state;
--- a/tests/support/chatbench.h
+++ b/tests/support/chatbench.h
@@ -22,6 +22,7 @@
 
     void setRouterState(int index, RouterState state);
     void setEngineState(int index, BackendState state);
+    void removeRouter(const RouterId &id);
 
 private:
     RouterId m_self;
