--- a/src/health/enginehealth.cpp
+++ b/src/health/enginehealth.cpp
@@ -173,6 +173,19 @@
     return std::max(*high, *median * kHedgeOverMedian);
 }
 
+double EngineHealth::medianSlowness() const
+{
+    std::vector<double> all;
+    all.reserve(m_engines.size());
+    for (const auto &[id, engine] : m_engines)
+        all.push_back(engine.slowness);
+    if (all.empty())
+        return 1;
+    const auto middle = all.begin() + static_cast<std::ptrdiff_t>((all.size() - 1) / 2);
+    std::nth_element(all.begin(), middle, all.end());
+    return *middle;
+}
+
 void EngineHealth::dump(nlohmann::json &out, TimePoint now) const
 {
     out = nlohmann::json::object();
--- a/src/health/enginehealth.h
+++ b/src/health/enginehealth.h
@@ -39,6 +39,9 @@
     /// After this long without a first token, a second engine is worth trying.
     std::optional<Duration> hedgeDelay(Tokens promptTokens) const;
 
+    /// Over the engines that this router has sent to; 1 before the first.
+    double medianSlowness() const;
+
     void dump(nlohmann::json &out, TimePoint now) const;
 
 private:
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -298,6 +298,7 @@
 
 void Placer::tick(TimePoint now, Outbox &out)
 {
+    m_slots.setUsualSlowness(m_health.medianSlowness());
     m_slots.tick(now, out);
     handleNews(now, out);
     std::vector<SearchId> stalled;
--- a/src/placement/slotexchange.h
+++ b/src/placement/slotexchange.h
@@ -62,6 +62,7 @@
     /// Last heard load of an engine over all routers; 0 if none was heard.
     std::uint32_t lastInFlight(const BackendId &backend) const;
     const SlotHome &home() const { return m_home; }
+    void setUsualSlowness(double slowness) { m_home.setUsualSlowness(slowness); }
     void dump(nlohmann::json &out, TimePoint now) const;
 
 private:
--- a/src/placement/slothome.cpp
+++ b/src/placement/slothome.cpp
@@ -17,10 +17,11 @@
 constexpr Duration kOverShareDelay = milliseconds(1000); ///< Behind those within their share.
 constexpr Duration kLongDelay = milliseconds(2000);     ///< Behind short work; then it is its turn.
 constexpr Duration kWaitTerm = milliseconds(5000);      ///< Of an asker that was not heard again.
-constexpr Duration kSlownessFades = milliseconds(2000); ///< Half of it, without observations.
+constexpr Duration kSlownessFades = milliseconds(3000); ///< Half of it, without observations.
 constexpr double kSlownessGain = 0.25;                  ///< Weight of one observation.
 constexpr double kMostSlowness = 8;                     ///< One observation counts no more.
 constexpr double kSlowFrom = 2;                         ///< Latency over the usual one.
+constexpr double kNoticeRaises = 2;                     ///< Slowness at least, over the present.
 constexpr double kQuarters = 4;
 
 } // namespace
@@ -110,12 +111,22 @@
     });
 }
 
-double SlotHome::speedOf(const EngineSlots &engine, TimePoint now) const
+double SlotHome::slownessOf(const EngineSlots &engine, TimePoint now)
 {
     const double silent = std::chrono::duration<double>(now - engine.slownessAt).count();
     const double half = std::chrono::duration<double>(kSlownessFades).count();
-    const double slowness = 1 + (engine.slowness - 1) * std::exp2(-silent / half);
-    return slowness < kSlowFrom ? 1 : 1 / slowness;
+    return 1 + (engine.slowness - 1) * std::exp2(-silent / half);
+}
+
+// An engine that is slow beside the others gets less than its part, so that few
+// requests meet it. When all are slow, none is cut: the load is the reason, not the engine.
+double SlotHome::speedOf(const EngineSlots &engine, TimePoint now) const
+{
+    const double own = slownessOf(engine, now);
+    if (own < kSlowFrom)
+        return 1;
+    const double relative = own / m_usualSlowness;
+    return relative < kSlowFrom ? 1 : 1 / (relative * relative);
 }
 
 std::uint32_t SlotHome::limitOf(const BackendId &backend, TimePoint now) const
@@ -269,8 +280,11 @@
 void SlotHome::noticeSlow(const BackendId &backend, std::uint8_t slowQuarters, TimePoint now)
 {
     const auto found = m_engines.find(backend);
-    if (found != m_engines.end())
-        observe(found->second, slowQuarters / kQuarters, now);
+    if (found == m_engines.end())
+        return;
+    // The answer has not come yet: it is at least this slow, so the estimate only rises.
+    const double least = found->second.slowness * kNoticeRaises;
+    observe(found->second, std::max(slowQuarters / kQuarters, least), now);
 }
 
 void SlotHome::holding(const RouterId &router, const wire::SlotHoldingT &message, TimePoint now)
--- a/src/placement/slothome.h
+++ b/src/placement/slothome.h
@@ -7,6 +7,7 @@
 // grant more than the limit.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -58,6 +59,9 @@
     /// A router saw a slow answer that has not ended yet.
     void noticeSlow(const BackendId &backend, std::uint8_t slowQuarters, TimePoint now);
 
+    /// Median slowness of all engines, so that a slowdown of all of them cuts none.
+    void setUsualSlowness(double slowness) { m_usualSlowness = std::max(1.0, slowness); }
+
     /// Ends slots of silent routers and stale waits, and grants what became free.
     void tick(TimePoint now);
     TimePoint nextWakeUp() const { return m_next; }
@@ -121,6 +125,7 @@
                                                       AttemptId attempt);
     static void erase(EngineSlots &engine, const SlotKey &key);
     static void observe(EngineSlots &engine, double ratio, TimePoint now);
+    static double slownessOf(const EngineSlots &engine, TimePoint now);
     double speedOf(const EngineSlots &engine, TimePoint now) const;
     void forgetFormerRuns();
     static void forgetRouter(EngineSlots &engine, const RouterId &router);
@@ -130,6 +135,7 @@
     std::map<std::uint64_t, DemandEstimate> m_demand; ///< By pool: engines with the same models.
     std::map<std::uint64_t, std::size_t> m_poolSizes; ///< Engines that take new work.
     std::size_t m_aliveRouters = 1;
+    double m_usualSlowness = 1; ///< At least 1.
     std::map<RouterId, Incarnation> m_incarnations;
     std::vector<SlotAnswer> m_answers;
     std::uint64_t m_version = 0;
--- a/src/placement/slotlimit.cpp
+++ b/src/placement/slotlimit.cpp
@@ -21,10 +21,10 @@
 std::uint32_t slotLimit(const SlotLimitInput &input)
 {
     const double engines = static_cast<double>(std::max<std::size_t>(1, input.engines));
-    const double bound = std::ceil(input.multiple * input.demand / engines) + 1;
+    const double bound = std::floor(input.multiple * input.demand / engines) + 1;
     const double capacity = slotCapacity(input.slots, input.engineQueue);
-    const double limit = std::min(bound, capacity * std::min(1.0, input.speed));
-    return static_cast<std::uint32_t>(std::max(1.0, std::floor(limit)));
+    const double limit = std::min(bound, capacity) * std::min(1.0, input.speed);
+    return static_cast<std::uint32_t>(std::floor(limit));
 }
 
 void DemandEstimate::heard(const RouterId &router, std::uint32_t demand, TimePoint now)
--- a/src/placement/slotlimit.h
+++ b/src/placement/slotlimit.h
@@ -1,5 +1,5 @@
-// How many requests an engine may have in flight: a set multiple of the mean load, one more for
-// rounding, and never more than the engine's slots with a small queue.
+// How many requests an engine may have in flight: a set multiple of the mean load, rounded up, and
+// never more than the engine's slots with a small queue.
 #pragma once
 
 #include <cstdint>
@@ -23,7 +23,7 @@
 /// The requests that an engine runs and queues at most.
 std::uint32_t slotCapacity(std::uint32_t slots, double engineQueue);
 
-/// At least 1.
+/// At least 1 for an engine at full speed; 0 for one that is too slow to take any request.
 std::uint32_t slotLimit(const SlotLimitInput &input);
 
 /// The demand of all routers on one pool of engines, from what each last said with its own
--- a/tests/support/chatfleet.cpp
+++ b/tests/support/chatfleet.cpp
@@ -2,6 +2,7 @@
 #include "support/chatfleet.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "support/testsettings.h"
 #include "wire/envelope.h"
@@ -147,8 +148,10 @@
     const auto load = static_cast<std::uint32_t>(loaded.running.size());
     loaded.highest = std::max(loaded.highest, load);
     const double mean = static_cast<double>(m_totalInFlight) / m_engines.size();
-    if (mean >= m_leastMean)
-        m_worstMultiple = std::max(m_worstMultiple, (load - 1.0) / mean);
+    if (mean < m_leastMean)
+        return;
+    m_worstMultiple = std::max(m_worstMultiple, (load - 1.0) / mean);
+    m_worstExcess = std::max(m_worstExcess, load - (std::ceil(1.25 * mean) + 1));
 }
 
 void ChatFleet::perform(int router, const Action &action)
--- a/tests/support/chatfleet.h
+++ b/tests/support/chatfleet.h
@@ -55,7 +55,14 @@
     /// Largest of (load of an engine - 1) / mean load seen when a request was sent, once the mean
     /// load was at least `leastMean`. The one is the slot for rounding.
     double worstMultiple() const { return m_worstMultiple; }
-    void watchFrom(double leastMean) { m_leastMean = leastMean; }
+    /// Largest number of requests over ceil(1.25 * mean load) + 1, seen likewise; below 0 if none.
+    double worstExcess() const { return m_worstExcess; }
+    void watchFrom(double leastMean)
+    {
+        m_leastMean = leastMean;
+        m_worstMultiple = 0;
+        m_worstExcess = -100;
+    }
 
     struct Caller
     {
@@ -123,6 +130,7 @@
     std::map<Run, int> m_engineOf;
     std::uint32_t m_totalInFlight = 0;
     double m_worstMultiple = 0;
+    double m_worstExcess = -100;
     double m_leastMean = 1;
     std::uint64_t m_messageBytes = 0;
     std::uint64_t m_messages = 0;
