--- a/src/admission/chatqueue.cpp
+++ b/src/admission/chatqueue.cpp
@@ -28,11 +28,18 @@
 
 // The customer's guaranteed requests in flight on this router: its share of the engines' slots,
 // over the routers. What it does not use is lent, since it only orders who waits.
-double ChatQueue::ownPart(const QueuedChat &chat) const
+double ChatQueue::ownPart(const QueuedChat &chat)
 {
-    double slots = 0;
-    for (const BackendView *engine : enginesServing(chat.model, m_context.fleet))
-        slots += engine->slots;
+    if (m_slotsVersion != m_context.fleet.version()) {
+        m_slotsVersion = m_context.fleet.version();
+        m_slots.clear();
+    }
+    const auto [known, isNew] = m_slots.try_emplace(chat.model, 0);
+    if (isNew) {
+        for (const BackendView *engine : enginesServing(chat.model, m_context.fleet))
+            known->second += engine->slots;
+    }
+    const double slots = known->second;
     double shares = 0;
     for (const auto &[customer, plan] : m_context.lists.lists().plans)
         shares += plan.share;
--- a/src/admission/chatqueue.h
+++ b/src/admission/chatqueue.h
@@ -74,7 +74,7 @@
 
     Lane &laneOf(const QueuedChat &chat) { return m_lanes[{chat.model, chat.longWork}]; }
     double grantRate(const Lane &lane, TimePoint now) const;
-    double ownPart(const QueuedChat &chat) const;
+    double ownPart(const QueuedChat &chat);
     void stopWaiting(Entry &entry);
 
     PartContext m_context;
@@ -83,6 +83,8 @@
     std::map<CustomerId, std::uint32_t> m_inUse;     ///< Granted, and searching within the share.
     std::multimap<TimePoint, RequestId> m_deadlines; ///< Of those queued or searching.
     std::vector<RequestId> m_ready;
+    std::map<ModelId, std::uint32_t> m_slots; ///< Of the engines that serve the model.
+    std::uint64_t m_slotsVersion = 0;         ///< Of the fleet that m_slots was made for.
 };
 
 } // namespace comfrey
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr Duration kMedianInterval = milliseconds(100);
 constexpr double kQuarters = 4;
 constexpr Duration kIsolatedAfter = milliseconds(1000); ///< Without an answer of any home router.
 constexpr double kMostQuarters = 255;
@@ -271,15 +272,27 @@
     }
 }
 
+const std::map<std::uint64_t, std::size_t> &Placer::poolsOf(const ModelId &model)
+{
+    if (m_poolsVersion != m_context.fleet.version()) {
+        m_poolsVersion = m_context.fleet.version();
+        m_pools.clear();
+    }
+    const auto [found, isNew] = m_pools.try_emplace(model);
+    if (isNew) {
+        for (const BackendView *engine : enginesServing(model, m_context.fleet))
+            ++found->second[poolKey(*engine)];
+    }
+    return found->second;
+}
+
 void Placer::setWaiting(const ModelId &model, std::uint32_t count)
 {
-    std::map<std::uint64_t, std::size_t> engines;
+    const auto &pools = poolsOf(model);
     std::size_t all = 0;
-    for (const BackendView *engine : enginesServing(model, m_context.fleet)) {
-        ++engines[poolKey(*engine)];
-        ++all;
-    }
-    for (const auto &[pool, size] : engines)
+    for (const auto &[pool, size] : pools)
+        all += size;
+    for (const auto &[pool, size] : pools)
         m_slots.setWaiting(pool, static_cast<std::uint32_t>((count * size + all - 1) / all));
 }
 
@@ -298,7 +311,10 @@
 
 void Placer::tick(TimePoint now, Outbox &out)
 {
-    m_slots.setUsualSlowness(m_health.medianSlowness());
+    if (now >= m_medianAt) {
+        m_slots.setUsualSlowness(m_health.medianSlowness());
+        m_medianAt = now + kMedianInterval;
+    }
     m_slots.tick(now, out);
     handleNews(now, out);
     std::vector<SearchId> stalled;
--- a/src/placement/placer.h
+++ b/src/placement/placer.h
@@ -85,6 +85,7 @@
     void place(SearchId id, AttemptId attempt, const BackendId &engine);
     void endSearch(SearchId id, AttemptId kept, TimePoint now, Outbox &out);
     void fail(SearchId id);
+    const std::map<std::uint64_t, std::size_t> &poolsOf(const ModelId &model);
     void handleNews(TimePoint now, Outbox &out);
     std::optional<Endpoint> importSource(const Search &search, const BackendId &engine) const;
 
@@ -100,6 +101,9 @@
     std::map<BackendId, std::uint32_t> m_reported;     ///< Running and waiting, by late reports.
     std::vector<Placement> m_placements;
     SearchId m_lastSearch;
+    TimePoint m_medianAt; ///< Next look at the median slowness.
+    std::map<ModelId, std::map<std::uint64_t, std::size_t>> m_pools; ///< Engines by pool.
+    std::uint64_t m_poolsVersion = 0; ///< Of the fleet that m_pools was made for.
 };
 
 } // namespace comfrey
