--- a/src/config/logreader.cpp
+++ b/src/config/logreader.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
-constexpr std::uint32_t kBackoffLimit = 5; // Doublings of the poll interval after failed reads.
-constexpr int kLostAfterTimeouts = 3;      // A read unanswered for so many time limits is lost.
+// Doublings of the poll interval after failed reads. All wait for the few that read.
+constexpr std::uint32_t kTailingBackoffLimit = 2;
+constexpr std::uint32_t kBackoffLimit = 5;
+constexpr int kLostAfterTimeouts = 3; // A read unanswered for so many time limits is lost.
 
 } // namespace
 
@@ -38,7 +40,7 @@
 void LogReader::failed(TimePoint now)
 {
     m_reading = false;
-    m_failures = std::min(m_failures + 1, kBackoffLimit);
+    m_failures = std::min(m_failures + 1, m_isTailing ? kTailingBackoffLimit : kBackoffLimit);
     const Duration backoff = milliseconds(m_settings.config.pollIntervalMs) * (1U << m_failures);
     m_notBefore = now + backoff / 2 + jittered(backoff);
 }
--- a/src/config/peerexchange.cpp
+++ b/src/config/peerexchange.cpp
@@ -14,7 +14,7 @@
 constexpr Duration kAnnounceInterval = milliseconds(50); // Least time between announcements.
 constexpr Duration kAnswerLimit = milliseconds(200);     // Until a question is put again.
 constexpr Duration kSnapshotInterval = milliseconds(50); // Least time between snapshots given.
-constexpr std::uint32_t kVainQuestionsLimit = 4;         // Doublings of kAnswerLimit.
+constexpr std::uint32_t kVainQuestionsLimit = 2;         // Doublings of kAnswerLimit.
 constexpr Duration kPeerStateKept = milliseconds(600000);
 
 } // namespace
@@ -30,8 +30,7 @@
         return;
     m_knownEnd = end;
     m_ahead = from;
-    if (m_askAt == kNever)
-        m_askAt = now;
+    m_askAt = std::min(m_askAt, std::max(now, m_askedAt + kAnswerLimit));
 }
 
 void PeerExchange::onGossip(const RouterId &from, const wire::GossipT &gossip, TimePoint now)
@@ -63,6 +62,7 @@
     m_isLoadedFromPeer = m_isLoadedFromPeer || (update.loaded && haveAll);
     if (!update.records.empty() || !update.snapshot.empty()) {
         m_vainQuestions = 0;
+        m_askedAt = TimePoint();
         m_askAt = now;
     }
     return results;
@@ -123,6 +123,7 @@
     const bool isBehind = m_knownEnd > next;
     if (!isBehind && isLoaded && !m_follower.lacksRecords())
         return;
+    m_askedAt = now;
     m_askAt = now + kAnswerLimit * (1U << m_vainQuestions);
     m_vainQuestions = std::min(m_vainQuestions + 1, kVainQuestionsLimit);
     RouterId target = std::exchange(m_ahead, RouterId());
--- a/src/config/peerexchange.h
+++ b/src/config/peerexchange.h
@@ -59,6 +59,7 @@
     LogOffset m_announced; ///< Newest record that others were told of.
     TimePoint m_announceAt = kNever;
     TimePoint m_lastAnnounceAt;
+    TimePoint m_askedAt;        ///< When the last question was put that is not answered yet.
     TimePoint m_askAt;          ///< When to put the next question; kNever if nothing is missing.
     TimePoint m_lastSnapshotAt; ///< When a snapshot was last given to another router.
 };
--- a/src/membership/flapdamper.cpp
+++ b/src/membership/flapdamper.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr Duration kHalfLife = std::chrono::seconds(30);
+constexpr Duration kHalfLife = std::chrono::seconds(60);
 constexpr Duration kHoldLimit = std::chrono::seconds(60);
 constexpr double kFreePenalty = 1.5; // One loss is never held against an instance.
 constexpr double kForgottenPenalty = 0.1;
