--- a/benchmark/fleet.cpp
+++ b/benchmark/fleet.cpp
@@ -126,11 +126,11 @@
     FakeFleet fleet(seed);
     build(fleet, routers);
     scheduleLoad(fleet, routers);
-    fleet.runFor(milliseconds(1000 * kWarmUpSeconds));
+    fleet.runFor(milliseconds(1000) * kWarmUpSeconds);
     const Sums before = totals(fleet);
     const auto trafficBefore = fleet.net().traffic();
     const double start = processorSeconds();
-    fleet.runFor(milliseconds(1000 * kMeasuredSeconds));
+    fleet.runFor(milliseconds(1000) * kMeasuredSeconds);
     const double spent = processorSeconds() - start;
     const Sums after = totals(fleet);
     const double share = 1.0 / routers / kMeasuredSeconds;
