--- a/tools/run/libmeasure.sh
+++ b/tools/run/libmeasure.sh
@@ -54,17 +54,6 @@
     waitForRouters 20 && fleetRuns
 }
 
-# Restarts engines that crashed, until the parent kills it.
-engineKeeper() {
-    local index=$1
-    shift
-    while :; do
-        startProcess "e$index" "$@"
-        wait "${fleetPids[e$index]}"
-        sleep 0.5
-    done
-}
-
 # routerDumps FILE: the state of every router, as one JSON list.
 routerDumps() {
     local index
@@ -177,3 +166,7 @@
         | awk -F '\t' 'BEGIN { printf "%-10s %-34s %-10s %-20s %-12s %s\n", "user", "measure", "target", "policy", "value", "spread over seeds" }
             { printf "%-10s %-34s %-10s %-20s %-12s %s\n", $1, $2, $3, $4, $5, $6 }'
 }
+
+# To make the table and plots of docs/MEASURES.md from out/measure:
+#   jq -r -f tools/run/measurepage.jq out/measure/table.json
+#   jq -s -r --arg user tsetseg -f tools/run/plotcrest.jq out/measure/tsetseg.*crest*.json
