--- a/tests/membershiptest.cpp
+++ b/tests/membershiptest.cpp
@@ -65,10 +65,12 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, routers.views().size());
     }
 
-    static std::vector<Instance> engines(int count, InstanceState first = InstanceState::Live)
+    static std::vector<Instance> engines(std::size_t count,
+                                         InstanceState first = InstanceState::Live)
     {
         std::vector<Instance> list;
-        for (int i = 0; i < count; ++i)
+        list.reserve(count);
+        for (std::size_t i = 0; i < count; ++i)
             list.push_back(instance("e" + std::to_string(i), InstanceKind::Engine,
                                     i == 0 ? first : InstanceState::Live));
         return list;
