--- a/benchmark/placement.cpp
+++ b/benchmark/placement.cpp
@@ -44,6 +44,7 @@
 }
 
 constexpr Duration kWarmUp = milliseconds(750);
+constexpr std::uint64_t kChatsPerEngine = 200;
 constexpr Tokens kOutputTokens = 48;
 constexpr double kServiceSeconds = 0.030 + 0.010 * kOutputTokens;
 
@@ -76,7 +77,9 @@
             for (int engine = 0; engine < size.engines * slowedPart; ++engine)
                 fleet.slow(engine, 5);
         }
-        const auto chat = "chat" + std::to_string(random() % (size.engines * 200));
+        const auto chat = "chat"
+            + std::to_string(random()
+                             % (kChatsPerEngine * static_cast<std::uint64_t>(size.engines)));
         fleet.arrive(static_cast<int>(random() % size.routers), chat, kOutputTokens,
                      "key" + std::to_string(random() % 10));
         fleet.runFor(Duration(static_cast<std::int64_t>(gap(random) * 1e6)));
--- a/tests/support/chatfleet.cpp
+++ b/tests/support/chatfleet.cpp
@@ -95,7 +95,7 @@
     });
 }
 
-void ChatFleet::post(int, const RouterId &to, Bytes payload)
+void ChatFleet::post(int, const RouterId &to, const Bytes &payload)
 {
     ++m_messages;
     m_messageBytes += payload.size() + kPacketOverheadBytes;
--- a/tests/support/chatfleet.h
+++ b/tests/support/chatfleet.h
@@ -110,7 +110,7 @@
     void with(int router, Call call);
     void handle(int router, const Event &event);
     void perform(int router, const Action &action);
-    void post(int from, const RouterId &to, Bytes payload);
+    void post(int from, const RouterId &to, const Bytes &payload);
     void deliver(int router, const Bytes &payload);
     void scheduleTick(int router);
     void start(int router, const SendToBackend &action);
