Instance list: read whole only when it changed

Cause: a router read the 4 KB list twice a second whether it changed or not. Change: the read names the version that it has; each twentieth read is whole, since a platform that starts again may count anew.

--- a/src/daemon/platformclient.cpp
+++ b/src/daemon/platformclient.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::size_t kMaxThreads = 64;
+// A platform that started again may count its versions from 1 again, so an unchanged version is not
+// trusted for long.
+constexpr unsigned kMaxConditionalReads = 20;
 constexpr int kReadLimit = 1000; // records in one answer
 
 HttpClientOptions optionsWith(std::chrono::milliseconds timeout)
@@ -151,7 +154,11 @@
 void PlatformClient::runReadInstances()
 {
     std::unique_ptr<httplib::Client> client = m_clients.take(m_address);
-    const httplib::Result result = client->Get("/instances");
+    const httplib::Result result = client->Get(instancesPath());
+    if (result && result->status == 304) {
+        m_clients.giveBack(m_address, std::move(client));
+        return m_sink.post(keptInstances());
+    }
     if (!result || result->status != 200)
         return m_sink.post(InstanceListFailed{});
     const nlohmann::json body = nlohmann::json::parse(result->body, nullptr, false);
@@ -161,9 +168,33 @@
     InstanceListRead read;
     for (const nlohmann::json &item : body["instances"])
         read.instances.push_back(instanceOf(item));
+    keepInstances(body.value("version", std::uint64_t{0}), read);
     m_sink.post(std::move(read));
 }
 
+// Asks for the list only if it changed, but from time to time in any case.
+std::string PlatformClient::instancesPath()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_version == 0 || ++m_conditionalReads > kMaxConditionalReads)
+        return "/instances";
+    return "/instances?unless_version=" + std::to_string(m_version);
+}
+
+void PlatformClient::keepInstances(std::uint64_t version, const InstanceListRead &read)
+{
+    const std::lock_guard lock(m_mutex);
+    m_version = version;
+    m_kept = read;
+    m_conditionalReads = 0;
+}
+
+InstanceListRead PlatformClient::keptInstances()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_kept;
+}
+
 void PlatformClient::fetchWeights(const FetchWeights &order)
 {
     m_pool.enqueue([this, order] { runFetchWeights(order); });
