--- a/src/placement/slothome.cpp
+++ b/src/placement/slothome.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
 
 #include "placement/ranking.h"
 
@@ -23,6 +24,7 @@
 constexpr double kSlowFrom = 2;                         ///< Latency over the usual one.
 constexpr double kNoticeRaises = 2;                     ///< Slowness at least, over the present.
 constexpr double kQuarters = 4;
+constexpr double kHashRange = 18446744073709551616.0; ///< 2^64.
 
 } // namespace
 
@@ -148,6 +150,21 @@
     return slotLimit(input);
 }
 
+// What an engine gives to work over its customer's share. The rest stays free for customers within
+// theirs: lent slots come back only as answers end, which may be later than a contracted first
+// token. Where the reserve is below one slot an engine, some engines keep one and the others none.
+std::uint32_t SlotHome::lentLimit(const BackendId &backend, std::uint32_t limit) const
+{
+    const BackendView *view = m_context.fleet.backend(backend);
+    const double slots = view == nullptr ? limit : view->slots;
+    const std::uint64_t hash = XXH64(backend.value().data(), backend.value().size(), 0);
+    const double fraction = static_cast<double>(hash) / kHashRange;
+    const double reserve = slots * m_context.settings.admission.shareReserve;
+    const auto kept = static_cast<std::uint32_t>(std::floor(reserve + fraction));
+    const auto lent = static_cast<std::uint32_t>(std::max(1.0, slots - kept));
+    return std::min(limit, lent);
+}
+
 bool SlotHome::hasRoom(const BackendId &backend, const EngineSlots &engine,
                        const SlotQuestion &question, TimePoint now) const
 {
@@ -156,6 +173,8 @@
         return false;
     if (question.suspect && engine.suspectHeld != 0)
         return false;
+    if (!question.withinShare && engine.held.size() >= lentLimit(backend, limit))
+        return false;
     if (question.priority != Priority::Long)
         return true;
     const BackendView *view = m_context.fleet.backend(backend);
--- a/src/placement/slothome.h
+++ b/src/placement/slothome.h
@@ -113,6 +113,7 @@
     };
 
     bool mayGrant(const EngineSlots &engine, TimePoint now) const;
+    std::uint32_t lentLimit(const BackendId &backend, std::uint32_t limit) const;
     bool hasRoom(const BackendId &backend, const EngineSlots &engine, const SlotQuestion &question,
                  TimePoint now) const;
     void grant(const BackendId &backend, EngineSlots &engine, const SlotQuestion &question,
--- a/src/settings/settingstable.cpp
+++ b/src/settings/settingstable.cpp
@@ -168,6 +168,8 @@
         "Requests over their customer's share that may wait for slots at once, by model.");
     add("long_wait_factor", "", ratio<section, &AdmissionT::longWaitFactor>(1.0F, 1000.0F),
         "Long work may wait this many times its contracted time to the first token.");
+    add("share_reserve", "share", ratio<section, &AdmissionT::shareReserve>(0.0F, 0.9F),
+        "Part of the engines' slots that work over its customer's share leaves free.");
 }
 
 void appendHealth(Table &table)
