Graceful stop: the last bytes of an answer are written before the process ends

Cause, found by reading: an exchange ends when its answer is handed to the HTTP library, before the bytes are written; a stopping router could end in between and cut it. An engine that times out on connecting counted as a broken stream (and so as a crash), and any 4xx of an engine as not run, a 408 too. Change: a whole stop waits for the server's threads; a connect timeout is not connected; only 400, 404, 413, 422 and 429 refuse. No test forces the window of the stop.

--- a/src/daemon/chatsender.cpp
+++ b/src/daemon/chatsender.cpp
@@ -171,7 +171,10 @@
         return AttemptEnd::Cancelled;
     if (m_status != 0 && m_status != 200)
         return endOfStatus();
-    if (!result && result.error() == httplib::Error::Connection)
+    const bool connected = result
+        || (result.error() != httplib::Error::Connection
+            && result.error() != httplib::Error::ConnectionTimeout);
+    if (!connected)
         return AttemptEnd::NotConnected;
     if (isLate())
         return AttemptEnd::TimedOut;
@@ -180,9 +183,12 @@
 
 AttemptEnd ChatSender::endOfStatus() const
 {
-    const bool refusedByForm = m_status >= 400 && m_status < 500;
-    return m_notStarted || refusedByForm ? AttemptEnd::RefusedUnstarted
-                                         : AttemptEnd::BrokenBeforeAnswer;
+    // Only statuses that judge the request itself; a 408 may follow a start.
+    constexpr int refusing[] = {400, 404, 413, 422, 429};
+    const bool isRefused =
+        std::find(std::begin(refusing), std::end(refusing), m_status) != std::end(refusing);
+    return m_notStarted || isRefused ? AttemptEnd::RefusedUnstarted
+                                     : AttemptEnd::BrokenBeforeAnswer;
 }
 
 } // namespace comfrey
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -129,7 +129,12 @@
         const bool idle = m_stopped.waitUntil(limit);
         while (m_exchanges.size() > 0 && std::chrono::steady_clock::now() < limit)
             std::this_thread::sleep_for(kStopPoll);
-        return idle && m_exchanges.size() == 0;
+        const bool whole = idle && m_exchanges.size() == 0;
+        // An exchange ends before the last bytes of its answer are written: the server's threads
+        // end after that.
+        if (whole)
+            m_callers->stop();
+        return whole;
     }
 
 private:
