--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -54,12 +54,13 @@
     return admission;
 }
 
-std::shared_ptr<Replica> Dispatcher::choose(const RequestFacts &request,
-                                            const ServiceName &serviceName,
-                                            const std::vector<std::string> &tried, TimePoint now)
+Choice Dispatcher::choose(const RequestFacts &request, const ServiceName &serviceName,
+                          const std::vector<std::string> &tried, TimePoint now)
 {
     ChoiceInput input;
     input.replicas = m_replicas.serving(serviceName);
+    if (!request.prompt.empty())
+        input.alive = m_replicas.alive(serviceName);
     std::erase_if(input.replicas, [&](const auto &replica) {
         return std::find(tried.begin(), tried.end(), replica->incarnation) != tried.end();
     });
--- a/src/dispatch/replicachooser.cpp
+++ b/src/dispatch/replicachooser.cpp
@@ -39,11 +39,31 @@
     return hashOf(request.id);
 }
 
-std::shared_ptr<Replica> PromptChooser::choose(const RequestFacts &request,
-                                               const ChoiceInput &input, TimePoint now) const
+std::shared_ptr<Replica> PromptChooser::usualHolder(std::uint64_t key, const Replica &chosen, const ChoiceInput &input,
+                                                    TimePoint now)
+{
+    const std::uint64_t chosenWeight = rendezvousWeight(key, chosen.record.id.value());
+    ReplicaPointer best;
+    std::uint64_t bestWeight = 0;
+    for (const ReplicaPointer &replica : input.alive) {
+        if (replica.get() == &chosen || replica->health.isUnreachable(now))
+            continue;
+        // One that ranks lower held the prompt only before the chosen one was there.
+        const std::uint64_t weight = rendezvousWeight(key, replica->record.id.value());
+        if (weight < chosenWeight && replica->record.born >= chosen.record.born)
+            continue;
+        if (!best || weight > bestWeight) {
+            best = replica;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+Choice PromptChooser::choose(const RequestFacts &request, const ChoiceInput &input, TimePoint now) const
 {
     if (input.replicas.empty())
-        return nullptr;
+        return {};
     const int allowed = bestRank(input, now);
     double total = 0;
     for (const ReplicaPointer &replica : input.replicas)
@@ -73,11 +93,13 @@
             bestWeight = weight;
         }
     }
-    return best ? best : leastLoaded;
+    Choice choice;
+    choice.replica = best ? best : leastLoaded;
+    choice.promptSource = usualHolder(key, *choice.replica, input, now);
+    return choice;
 }
 
-std::shared_ptr<Replica> ShortestWaitChooser::choose(const RequestFacts &, const ChoiceInput &input,
-                                                     TimePoint now) const
+Choice ShortestWaitChooser::choose(const RequestFacts &, const ChoiceInput &input, TimePoint now) const
 {
     const int allowed = bestRank(input, now);
     ReplicaPointer best;
@@ -98,7 +120,7 @@
             best = replica;
         }
     }
-    return best;
+    return {best, nullptr};
 }
 
 } // namespace comfrey
--- a/src/dispatch/replicachooser.h
+++ b/src/dispatch/replicachooser.h
@@ -14,19 +14,24 @@
 /// A service's servers in the state that a choice needs.
 struct ChoiceInput
 {
-    std::vector<std::shared_ptr<Replica>>
-        replicas;               ///< That take new work; without those tried already.
+    std::vector<std::shared_ptr<Replica>> replicas; ///< That take new work; without those tried already.
+    std::vector<std::shared_ptr<Replica>> alive;    ///< All that run, also those that are leaving.
     Duration usualWait;         ///< Of the service, to the first bytes.
     std::uint64_t tieBreak = 0; ///< A random number of this choice.
     ZoneId ownZone;
 };
 
+struct Choice
+{
+    std::shared_ptr<Replica> replica;      ///< Null only if there is no replica at all.
+    std::shared_ptr<Replica> promptSource; ///< Likely has cached prompt parts that `replica` lacks; may be null.
+};
+
 class ReplicaChooser
 {
 public:
     virtual ~ReplicaChooser() = default;
-    /// Null only if there is no replica at all.
-    virtual std::shared_ptr<Replica> choose(const RequestFacts &request, const ChoiceInput &input,
+    virtual Choice choose(const RequestFacts &request, const ChoiceInput &input,
                                             TimePoint now) const = 0;
 };
 
@@ -36,21 +41,22 @@
 class PromptChooser : public ReplicaChooser
 {
 public:
-    std::shared_ptr<Replica> choose(const RequestFacts &request, const ChoiceInput &input,
-                                    TimePoint now) const override;
+    Choice choose(const RequestFacts &request, const ChoiceInput &input, TimePoint now) const override;
 
 private:
-    static constexpr double kLoadFactor =
-        1.4; ///< Times the mean load: well within the fleet's bound of 2.
-    static constexpr double kLoadSpare = 2; ///< Requests over it, so that small loads move nothing.
+    /// The engine that other routers' requests with this prompt went to, as far as this one can tell.
+    static std::shared_ptr<Replica> usualHolder(std::uint64_t key, const Replica &chosen, const ChoiceInput &input,
+                                                TimePoint now);
+
+    static constexpr double kLoadFactor = 1.7; ///< Times the mean load: within the fleet's bound of 2.
+    static constexpr double kLoadSpare = 3;    ///< Requests over it, so that small loads move nothing.
 };
 
 /// For plain services. Load: short calls to a few servers, some of them slowed by neighbours.
 class ShortestWaitChooser : public ReplicaChooser
 {
 public:
-    std::shared_ptr<Replica> choose(const RequestFacts &request, const ChoiceInput &input,
-                                    TimePoint now) const override;
+    Choice choose(const RequestFacts &request, const ChoiceInput &input, TimePoint now) const override;
 };
 
 } // namespace comfrey
--- a/src/dispatch/replicatable.cpp
+++ b/src/dispatch/replicatable.cpp
@@ -130,6 +130,16 @@
     return found;
 }
 
+std::vector<std::shared_ptr<Replica>> ReplicaTable::alive(const ServiceName &service) const
+{
+    std::vector<std::shared_ptr<Replica>> found;
+    for (const auto &[id, replica] : m_replicas) {
+        if (replica->record.service == service)
+            found.push_back(replica);
+    }
+    return found;
+}
+
 std::shared_ptr<Replica> ReplicaTable::find(const BackendId &id) const
 {
     const auto found = m_replicas.find(id);
--- a/src/dispatch/replicatable.h
+++ b/src/dispatch/replicatable.h
@@ -59,6 +59,8 @@
 
     /// Servers that take new work, in the order of their ids.
     std::vector<std::shared_ptr<Replica>> serving(const ServiceName &service) const;
+    /// Also those that are leaving.
+    std::vector<std::shared_ptr<Replica>> alive(const ServiceName &service) const;
     std::shared_ptr<Replica> find(const BackendId &id) const;
     std::vector<ReplicaRecord> records() const;
     std::size_t size() const { return m_replicas.size(); }
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -117,7 +117,8 @@
 void Exchange::sendToReplica()
 {
     const TimePoint now = m_gateway.now();
-    m_replica = dispatcher().choose(m_facts, m_admission.service, m_tried, now);
+    const Choice choice = dispatcher().choose(m_facts, m_admission.service, m_tried, now);
+    m_replica = choice.replica;
     if (!m_replica) {
         giveUp(SendEnd::NotSent, "no backend server takes work");
         return;
@@ -130,6 +131,7 @@
     }
     Delivery delivery;
     delivery.replica = m_replica.get();
+    delivery.promptSource = choice.promptSource.get();
     delivery.organisation = m_admission.organisation;
     if (!m_facts.prompt.empty()) {
         const auto *organisation = m_admission.organisation;
--- a/src/gateway/headercodec.h
+++ b/src/gateway/headercodec.h
@@ -17,6 +17,7 @@
     const Organisation *organisation = nullptr;
     Duration timeLeft;
     std::optional<std::uint32_t> urgency; ///< 0 is the most urgent; for engines only.
+    const Replica *promptSource = nullptr; ///< The server copies cached prompt parts from there; may be null.
     std::string lastEventId;              ///< Go on after this event; empty for a start.
 };
 
