--- a/src/dispatch/replicachooser.h
+++ b/src/dispatch/replicachooser.h
@@ -48,8 +48,8 @@
     static std::shared_ptr<Replica> usualHolder(std::uint64_t key, const Replica &chosen, const ChoiceInput &input,
                                                 TimePoint now);
 
-    static constexpr double kLoadFactor = 1.7; ///< Times the mean load: within the fleet's bound of 2.
-    static constexpr double kLoadSpare = 3;    ///< Requests over it, so that small loads move nothing.
+    static constexpr double kLoadFactor = 1.9; ///< Times the mean load: within the fleet's bound of 2.
+    static constexpr double kLoadSpare = 4;    ///< Requests over it, so that small loads move nothing.
 };
 
 /// For plain services. Load: short calls to a few servers, some of them slowed by neighbours.
