--- a/src/dispatch/replicatable.cpp
+++ b/src/dispatch/replicatable.cpp
@@ -82,8 +82,10 @@
         put(record, now);
     }
     for (const ReplicaRecord &known : this->records()) {
-        if (listed.count(known.id) == 0)
-            remove(known.id, now);
+        // The list may be older than what is known: a server that it lacks may be a new one.
+        Replica &replica = *m_replicas.at(known.id);
+        if (listed.count(known.id) == 0 && replica.doubtedUntil == kNever)
+            replica.doubtedUntil = now + kLapseGrace;
     }
 }
 
--- a/src/traffic/callerconnection.cpp
+++ b/src/traffic/callerconnection.cpp
@@ -224,7 +224,8 @@
 void CallerConnection::endRequest()
 {
     m_watcher = nullptr;
-    if (m_closeResponse) {
+    // A stop may have begun during a response that promised more.
+    if (m_closeResponse || m_handler.isStopping()) {
         closeAfterWrite();
         return;
     }
