--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -65,8 +65,8 @@
 
     Admission admit(const RequestFacts &request, TimePoint now);
     /// A server for the request, other than those in `tried`. Null if there is none.
-    Choice choose(const RequestFacts &request, const ServiceName &service, const std::vector<std::string> &tried,
-                  TimePoint now);
+    Choice choose(const RequestFacts &request, const ServiceName &service,
+                  const std::vector<std::string> &tried, TimePoint now);
     /// True if the request may go to another server after `sends` sendings of which `runs` may have
     /// run. Draws on the retry budget.
     bool mayResend(const Admission &admission, SendEnd end, std::uint32_t sends, std::uint32_t runs,
--- a/src/dispatch/replicachooser.cpp
+++ b/src/dispatch/replicachooser.cpp
@@ -39,8 +39,8 @@
     return hashOf(request.id);
 }
 
-std::shared_ptr<Replica> PromptChooser::usualHolder(std::uint64_t key, const Replica &chosen, const ChoiceInput &input,
-                                                    TimePoint now)
+std::shared_ptr<Replica> PromptChooser::usualHolder(std::uint64_t key, const Replica &chosen,
+                                                    const ChoiceInput &input, TimePoint now)
 {
     const std::uint64_t chosenWeight = rendezvousWeight(key, chosen.record.id.value());
     ReplicaPointer best;
@@ -60,7 +60,8 @@
     return best;
 }
 
-Choice PromptChooser::choose(const RequestFacts &request, const ChoiceInput &input, TimePoint now) const
+Choice PromptChooser::choose(const RequestFacts &request, const ChoiceInput &input,
+                             TimePoint now) const
 {
     if (input.replicas.empty())
         return {};
@@ -99,7 +100,8 @@
     return choice;
 }
 
-Choice ShortestWaitChooser::choose(const RequestFacts &, const ChoiceInput &input, TimePoint now) const
+Choice ShortestWaitChooser::choose(const RequestFacts &, const ChoiceInput &input,
+                                   TimePoint now) const
 {
     const int allowed = bestRank(input, now);
     ReplicaPointer best;
--- a/src/dispatch/replicachooser.h
+++ b/src/dispatch/replicachooser.h
@@ -14,17 +14,19 @@
 /// A service's servers in the state that a choice needs.
 struct ChoiceInput
 {
-    std::vector<std::shared_ptr<Replica>> replicas; ///< That take new work; without those tried already.
-    std::vector<std::shared_ptr<Replica>> alive;    ///< All that run, also those that are leaving.
-    Duration usualWait;         ///< Of the service, to the first bytes.
-    std::uint64_t tieBreak = 0; ///< A random number of this choice.
+    std::vector<std::shared_ptr<Replica>>
+        replicas; ///< That take new work; without those tried already.
+    std::vector<std::shared_ptr<Replica>> alive; ///< All that run, also those that are leaving.
+    Duration usualWait;                          ///< Of the service, to the first bytes.
+    std::uint64_t tieBreak = 0;                  ///< A random number of this choice.
     ZoneId ownZone;
 };
 
 struct Choice
 {
-    std::shared_ptr<Replica> replica;      ///< Null only if there is no replica at all.
-    std::shared_ptr<Replica> promptSource; ///< Likely has cached prompt parts that `replica` lacks; may be null.
+    std::shared_ptr<Replica> replica; ///< Null only if there is no replica at all.
+    std::shared_ptr<Replica>
+        promptSource; ///< Likely has cached prompt parts that `replica` lacks; may be null.
 };
 
 class ReplicaChooser
@@ -32,7 +34,7 @@
 public:
     virtual ~ReplicaChooser() = default;
     virtual Choice choose(const RequestFacts &request, const ChoiceInput &input,
-                                            TimePoint now) const = 0;
+                          TimePoint now) const = 0;
 };
 
 /// For engines. Load: many chats over a few shared prompts, some prompt much asked for. Every
@@ -41,22 +43,26 @@
 class PromptChooser : public ReplicaChooser
 {
 public:
-    Choice choose(const RequestFacts &request, const ChoiceInput &input, TimePoint now) const override;
+    Choice choose(const RequestFacts &request, const ChoiceInput &input,
+                  TimePoint now) const override;
 
 private:
-    /// The engine that other routers' requests with this prompt went to, as far as this one can tell.
-    static std::shared_ptr<Replica> usualHolder(std::uint64_t key, const Replica &chosen, const ChoiceInput &input,
-                                                TimePoint now);
+    /// The engine that other routers' requests with this prompt went to, as far as this one can
+    /// tell.
+    static std::shared_ptr<Replica> usualHolder(std::uint64_t key, const Replica &chosen,
+                                                const ChoiceInput &input, TimePoint now);
 
-    static constexpr double kLoadFactor = 1.9; ///< Times the mean load: within the fleet's bound of 2.
-    static constexpr double kLoadSpare = 4;    ///< Requests over it, so that small loads move nothing.
+    static constexpr double kLoadFactor =
+        1.9;                                ///< Times the mean load: within the fleet's bound of 2.
+    static constexpr double kLoadSpare = 4; ///< Requests over it, so that small loads move nothing.
 };
 
 /// For plain services. Load: short calls to a few servers, some of them slowed by neighbours.
 class ShortestWaitChooser : public ReplicaChooser
 {
 public:
-    Choice choose(const RequestFacts &request, const ChoiceInput &input, TimePoint now) const override;
+    Choice choose(const RequestFacts &request, const ChoiceInput &input,
+                  TimePoint now) const override;
 };
 
 } // namespace comfrey
--- a/src/gateway/headercodec.h
+++ b/src/gateway/headercodec.h
@@ -17,8 +17,9 @@
     const Organisation *organisation = nullptr;
     Duration timeLeft;
     std::optional<std::uint32_t> urgency; ///< 0 is the most urgent; for engines only.
-    const Replica *promptSource = nullptr; ///< The server copies cached prompt parts from there; may be null.
-    std::string lastEventId;              ///< Go on after this event; empty for a start.
+    const Replica *promptSource =
+        nullptr;             ///< The server copies cached prompt parts from there; may be null.
+    std::string lastEventId; ///< Go on after this event; empty for a start.
 };
 
 class HeaderCodec
