Routers tell each other the store's news and their requests at each backend server

Change: src/routers: the first router of a zone reads the store, the others hold an ask with it; zone sums of requests go between zones every 300 ms; placement counts them.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -143,6 +143,24 @@
     replica.load.onEnded();
 }
 
+std::unordered_map<std::uint64_t, std::uint32_t> Dispatcher::ownRequests() const
+{
+    std::unordered_map<std::uint64_t, std::uint32_t> requests;
+    for (const auto &replica : m_replicas.all()) {
+        if (replica->load.ownInFlight() > 0)
+            requests[replica->incarnationHash] = replica->load.ownInFlight();
+    }
+    return requests;
+}
+
+void Dispatcher::setOthersRequests(const std::unordered_map<std::uint64_t, std::uint32_t> &requests, TimePoint now)
+{
+    for (const auto &replica : m_replicas.all()) {
+        const auto found = requests.find(replica->incarnationHash);
+        replica->load.setOthers(found == requests.end() ? 0 : found->second, now);
+    }
+}
+
 Duration Dispatcher::usualWait(const ServiceName &name) const
 {
     const auto found = m_services.find(name);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "dispatch/crashguard.h"
@@ -82,6 +83,11 @@
     /// The request holds no place at the server any more.
     void onEnded(Replica &replica);
 
+    /// This router's requests at each server, by the hash of its incarnation.
+    std::unordered_map<std::uint64_t, std::uint32_t> ownRequests() const;
+    /// Those of all other routers.
+    void setOthersRequests(const std::unordered_map<std::uint64_t, std::uint32_t> &requests, TimePoint now);
+
     CrashGuard &crashes() { return m_crashes; }
     Duration usualWait(const ServiceName &service) const;
     void tick(TimePoint now);
--- a/src/dispatch/replicachooser.cpp
+++ b/src/dispatch/replicachooser.cpp
@@ -12,6 +12,9 @@
 
 using ReplicaPointer = std::shared_ptr<Replica>;
 
+/// How much worse a server is that fails all requests than one that fails none.
+constexpr double kFailureWeight = 4;
+
 /// A server that failed lately comes after every other one; `spare` is for when all did.
 int rank(const Replica &replica, Duration usualWait, TimePoint now)
 {
@@ -100,29 +103,25 @@
     return choice;
 }
 
-Choice ShortestWaitChooser::choose(const RequestFacts &, const ChoiceInput &input,
-                                   TimePoint now) const
+Choice ShortestWaitChooser::choose(const RequestFacts &, const ChoiceInput &input, TimePoint now) const
 {
     const int allowed = bestRank(input, now);
-    ReplicaPointer best;
-    double bestScore = std::numeric_limits<double>::max();
-    std::uint64_t salt = input.tieBreak;
+    std::vector<const ReplicaPointer *> candidates;
     for (const ReplicaPointer &replica : input.replicas) {
-        if (rank(*replica, input.usualWait, now) > allowed)
-            continue;
-        const double wait =
-            std::max<double>(1000, static_cast<double>(replica->health.wait().count()));
-        // Requests of other routers are unknown: a random part keeps routers from choosing alike.
-        salt = rendezvousWeight(salt, replica->record.id.value());
-        const double chance = 0.75 + 0.5 * static_cast<double>(salt % 1024) / 1024;
-        const double score = wait * (1 + replica->load.ownInFlight())
-            * (1 + 4 * replica->health.failureShare()) * chance;
-        if (score < bestScore) {
-            bestScore = score;
-            best = replica;
-        }
+        if (rank(*replica, input.usualWait, now) <= allowed)
+            candidates.push_back(&replica);
     }
-    return {best, nullptr};
+    if (candidates.empty())
+        return {};
+    // Two at random, and the better of them: routers with the same news do not all choose the same.
+    const std::size_t one = input.tieBreak % candidates.size();
+    const std::size_t step = candidates.size() > 1 ? 1 + input.tieBreak / candidates.size() % (candidates.size() - 1) : 0;
+    const std::size_t other = (one + step) % candidates.size();
+    const auto score = [&](const Replica &replica) {
+        const double wait = std::max<double>(1000, static_cast<double>(replica.health.wait().count()));
+        return wait * (1 + replica.load.estimate(now)) * (1 + kFailureWeight * replica.health.failureShare());
+    };
+    return {score(**candidates[other]) < score(**candidates[one]) ? *candidates[other] : *candidates[one], nullptr};
 }
 
 } // namespace comfrey
--- a/src/dispatch/replicaload.h
+++ b/src/dispatch/replicaload.h
@@ -25,11 +25,20 @@
         m_reportedAt = now;
     }
 
+    /// Requests of all other routers, as they told.
+    void setOthers(std::uint32_t requests, TimePoint now)
+    {
+        m_others = requests;
+        m_othersAt = now;
+    }
+
     std::uint32_t ownInFlight() const { return m_ownInFlight; }
-    /// Requests at the server: the last report with this router's own changes since then; without a
-    /// recent one, this router's own.
+    /// Requests at the server: this router's own and what the others told, or the server's last report
+    /// with this router's own changes since then; without either, this router's own.
     double estimate(TimePoint now) const
     {
+        if (m_othersAt != TimePoint::min() && now - m_othersAt <= kToldLife)
+            return static_cast<double>(m_ownInFlight) + m_others;
         if (m_reportedAt == TimePoint::min() || now - m_reportedAt > kReportLife)
             return m_ownInFlight;
         const double changed = static_cast<double>(m_ownInFlight) - m_ownAtReport;
@@ -40,11 +49,15 @@
     static constexpr Duration kReportLife =
         milliseconds(1000); // about the length of one chat on an engine
 
+    static constexpr Duration kToldLife = milliseconds(1500);   // a few exchanges between routers
+
     std::uint32_t m_slots = 1; ///< At least 1.
     std::uint32_t m_ownInFlight = 0;
     std::uint32_t m_reported = 0;
     std::uint32_t m_ownAtReport = 0;
     TimePoint m_reportedAt = TimePoint::min();
+    std::uint32_t m_others = 0;
+    TimePoint m_othersAt = TimePoint::min();
 };
 
 } // namespace comfrey
--- a/src/dispatch/replicatable.cpp
+++ b/src/dispatch/replicatable.cpp
@@ -1,7 +1,7 @@
 // Folds records of backend servers.
 #include "dispatch/replicatable.h"
 
-#include <set>
+#include "placement/ranking.h"
 
 namespace comfrey {
 
@@ -40,6 +40,7 @@
         // A restarted server holds nothing of before, and neither does what was known of it.
         replica = std::make_shared<Replica>();
         replica->incarnation = incarnationOf(record);
+        replica->incarnationHash = hashOf(replica->incarnation);
         replica->load.setSlots(record.slots);
     }
     const bool changed = isNew || replica->isLeaving != record.isDraining
@@ -74,21 +75,6 @@
     m_replicas.erase(found);
 }
 
-void ReplicaTable::replaceAll(const std::vector<ReplicaRecord> &records, TimePoint now)
-{
-    std::set<BackendId> listed;
-    for (const ReplicaRecord &record : records) {
-        listed.insert(record.id);
-        put(record, now);
-    }
-    for (const ReplicaRecord &known : this->records()) {
-        // The list may be older than what is known: a server that it lacks may be a new one.
-        Replica &replica = *m_replicas.at(known.id);
-        if (listed.count(known.id) == 0 && replica.doubtedUntil == kNever)
-            replica.doubtedUntil = now + kLapseGrace;
-    }
-}
-
 void ReplicaTable::disown(const BackendId &id)
 {
     const auto found = m_replicas.find(id);
@@ -148,14 +134,12 @@
     return found == m_replicas.end() ? nullptr : found->second;
 }
 
-std::vector<ReplicaRecord> ReplicaTable::records() const
+std::vector<std::shared_ptr<Replica>> ReplicaTable::all() const
 {
-    std::vector<ReplicaRecord> all;
-    for (const auto &[id, replica] : m_replicas) {
-        all.push_back(replica->record);
-        all.back().isDraining = replica->isLeaving;
-    }
-    return all;
+    std::vector<std::shared_ptr<Replica>> replicas;
+    for (const auto &[id, replica] : m_replicas)
+        replicas.push_back(replica);
+    return replicas;
 }
 
 } // namespace comfrey
--- a/src/dispatch/replicatable.h
+++ b/src/dispatch/replicatable.h
@@ -33,6 +33,7 @@
 {
     ReplicaRecord record;
     std::string incarnation;         ///< The id and the start: a restarted server has another one.
+    std::uint64_t incarnationHash = 0; ///< Names it between routers.
     bool isLeaving = false;          ///< Gets no new work.
     TimePoint doubtedUntil = kNever; ///< Its record lapsed with the store; gone after that time.
     ReplicaHealth health;
@@ -46,8 +47,6 @@
     bool put(const ReplicaRecord &record, TimePoint now);
     /// The server's record was removed, or can't be read.
     void remove(const BackendId &id, TimePoint now);
-    /// A whole list replaces all that is known.
-    void replaceAll(const std::vector<ReplicaRecord> &records, TimePoint now);
     /// The server itself said that another one has its address.
     void disown(const BackendId &id);
 
@@ -62,7 +61,7 @@
     /// Also those that are leaving.
     std::vector<std::shared_ptr<Replica>> alive(const ServiceName &service) const;
     std::shared_ptr<Replica> find(const BackendId &id) const;
-    std::vector<ReplicaRecord> records() const;
+    std::vector<std::shared_ptr<Replica>> all() const;
     std::size_t size() const { return m_replicas.size(); }
 
     /// Servers whose records lapsed while the store was down are back within this time if they
--- /dev/null
+++ b/src/routers/fleetlink.cpp
@@ -0,0 +1,364 @@
+// Asks and answers between routers.
+#include "routers/fleetlink.h"
+
+#include <algorithm>
+
+#include "traffic/callerlistener.h"
+
+namespace comfrey {
+
+namespace {
+
+const std::string kRouterTopic = "~routers"; ///< Known to routers only; never in the store.
+
+constexpr Duration kAskMargin = milliseconds(400);     ///< For an answer after it was held.
+constexpr Duration kExchangePause = milliseconds(300); // bytes between zones cost; the load of a server changes in about a second
+constexpr Duration kSeedPause = milliseconds(300);
+constexpr Duration kSeedTime = milliseconds(900);      ///< After the start, in which routers find each other.
+constexpr Duration kFollowLimit = milliseconds(900);   ///< Without fresh news for so long, a router reads the store itself.
+constexpr Duration kShortestHold = milliseconds(150);
+constexpr int kAsksPerSecond = 100;                    ///< That the asked router of a zone gets: a fraction of its processor
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+template<typename Table>
+std::string packed(const typename Table::NativeTableType &object)
+{
+    Builder builder;
+    builder.Finish(Table::Pack(builder, &object));
+    return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+template<typename Table>
+std::optional<typename Table::NativeTableType> unpacked(const std::string &bytes)
+{
+    flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
+    if (!verifier.VerifyBuffer<Table>(nullptr))
+        return std::nullopt;
+    typename Table::NativeTableType object;
+    flatbuffers::GetRoot<Table>(bytes.data())->UnPackTo(&object);
+    return object;
+}
+
+using WireRequests = std::vector<std::unique_ptr<wire::ServerRequestsT>>;
+
+WireRequests toWire(const ServerRequests &requests)
+{
+    WireRequests list;
+    list.reserve(requests.size());
+    for (const auto &[server, count] : requests) {
+        if (count == 0)
+            continue;
+        auto entry = std::make_unique<wire::ServerRequestsT>();
+        entry->server = server;
+        entry->requests = count;
+        list.push_back(std::move(entry));
+    }
+    return list;
+}
+
+ServerRequests fromWire(const WireRequests &list)
+{
+    ServerRequests requests;
+    for (const auto &entry : list)
+        requests[entry->server] += entry->requests;
+    return requests;
+}
+
+std::unique_ptr<wire::NewsRecordT> toWire(const FeedRecord &record)
+{
+    auto news = std::make_unique<wire::NewsRecordT>();
+    news->topic = record.topic;
+    news->key = record.key;
+    news->removed = !record.value;
+    if (record.value)
+        news->value.assign(record.value->begin(), record.value->end());
+    news->order = record.order;
+    return news;
+}
+
+FeedRecord fromWire(wire::NewsRecordT &news)
+{
+    FeedRecord record{std::move(news.topic), std::move(news.key), std::nullopt, news.order};
+    if (!news.removed)
+        record.value = std::string(news.value.begin(), news.value.end());
+    return record;
+}
+
+} // namespace
+
+FleetLink::FleetLink(HttpCaller &caller, RecordFeed &feed, EventLog &log, std::function<TimePoint()> clock,
+                     FleetLinkSettings settings, FleetLinkListener &listener) :
+    m_caller(caller),
+    m_feed(feed),
+    m_log(log),
+    m_clock(std::move(clock)),
+    m_settings(std::move(settings)),
+    m_listener(listener),
+    m_directory(m_settings.self),
+    m_source(static_cast<std::uint64_t>(m_clock().time_since_epoch().count())),
+    m_startedAt(m_clock())
+{
+    m_limits.maxBodyBytes = 1 << 20;
+    learnRouter(m_settings.self, m_settings.born);
+}
+
+void FleetLink::learnRouter(const KnownRouter &router, std::uint64_t born)
+{
+    m_feed.put({kRouterTopic, router.name, router.zone.value() + '\n' + router.address, born});
+    m_directory.add(router);
+}
+
+bool FleetLink::isFresh(TimePoint now) const
+{
+    return (m_readsStore && m_store == StoreState::Works) || (m_freshAt != TimePoint::min() && now - m_freshAt < kFollowLimit);
+}
+
+bool FleetLink::isFreshForOthers(TimePoint now) const
+{
+    if (m_readsStore && m_store == StoreState::Works)
+        return true;
+    return m_followed && m_directory.precedesSelf(m_followed->name) && now - m_freshAt < kFollowLimit;
+}
+
+Duration FleetLink::holdTime() const
+{
+    const auto routers = static_cast<std::int64_t>(m_directory.zoneSize(m_settings.self.zone));
+    return std::max(kShortestHold, milliseconds(1000 * routers / kAsksPerSecond));
+}
+
+void FleetLink::tick(TimePoint now)
+{
+    for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
+        const auto caller = waiting->caller.lock();
+        if (caller && caller->isOpen() && now < waiting->until) {
+            ++waiting;
+            continue;
+        }
+        if (caller && caller->isOpen())
+            answerAsk(*caller, waiting->ask);
+        waiting = m_waiting.erase(waiting);
+    }
+    if (!m_stopping)
+        decide(now);
+}
+
+void FleetLink::decide(TimePoint now)
+{
+    const bool isNew = now - m_startedAt < kSeedTime;
+    const std::string &ownAddress = m_settings.self.address;
+    const auto &seeds = m_settings.seeds;
+    const bool isSeed = std::find(seeds.begin(), seeds.end(), ownAddress) != seeds.end();
+    const bool isAlone = m_directory.zoneSize(m_settings.self.zone) <= 1;
+    if ((isNew || !isFresh(now)) && now >= m_seedsAt) {
+        m_seedsAt = now + kSeedPause * (isNew ? 1 : 4);
+        for (const std::string &seed : seeds) {
+            if (seed != ownAddress)
+                ask({{}, ZoneId(), seed}, Purpose::Seed, now);
+        }
+    }
+    if (isNew && !isSeed && (isAlone || !m_followed)) {
+        const auto first = m_directory.first(m_settings.self.zone, true, now);
+        if (first && !isAlone)
+            ask(*first, Purpose::Probe, now);
+        return;
+    }
+    const auto first = m_directory.first(m_settings.self.zone, m_readsStore && m_store == StoreState::Fails, now);
+    const bool isFirst = first && first->name == m_settings.self.name;
+    if (isFirst)
+        m_followed.reset();
+    else if (first && (!m_followed || m_followed->address != first->address))
+        ask(*first, Purpose::Probe, now);
+    if (m_followed)
+        ask(*m_followed, Purpose::Follow, now);
+    const bool hasFreshNews = m_freshAt != TimePoint::min() && now - m_freshAt < kFollowLimit;
+    if (isFirst)
+        setReadsStore(true, now, "first of its zone");
+    else if (!hasFreshNews)
+        setReadsStore(true, now, "no router of its zone has fresh news");
+    else if (m_followed)
+        setReadsStore(false, now, "another router reads it");
+    if (m_readsStore && now >= m_exchangeAt)
+        exchange(now);
+}
+
+void FleetLink::setReadsStore(bool reads, TimePoint now, std::string_view why)
+{
+    if (m_readsStore == reads)
+        return;
+    m_readsStore = reads;
+    m_store = StoreState::Unknown;
+    LogLine(m_log, reads ? "store-reading-begun" : "store-reading-ended", now)
+        .add("reason", why)
+        .add("follows", m_followed ? std::string_view(m_followed->name) : std::string_view("none"));
+}
+
+void FleetLink::exchange(TimePoint now)
+{
+    m_exchangeAt = now + kExchangePause;
+    for (const ZoneId &zone : m_directory.otherZones()) {
+        if (const auto router = m_directory.first(zone, false, now))
+            ask(*router, Purpose::Exchange, now);
+    }
+}
+
+void FleetLink::ask(const KnownRouter &router, Purpose purpose, TimePoint now)
+{
+    Known &known = m_known[router.address];
+    const auto endpoint = parseEndpoint(router.address);
+    if (known.isAsked || !endpoint)
+        return;
+    known.isAsked = true;
+    wire::NewsAskT news;
+    news.router = m_settings.self.name;
+    news.zone = m_settings.self.zone.value();
+    news.address = m_settings.self.address;
+    news.born = m_settings.born;
+    news.source = known.source;
+    news.since = known.number;
+    const Duration hold = purpose == Purpose::Follow ? holdTime() : Duration(0);
+    news.holdMs = static_cast<std::uint32_t>(hold.count() / 1000);
+    const ServerRequests own = m_listener.ownRequests();
+    news.requests = toWire(purpose == Purpose::Exchange ? m_digest.zoneTotal(own, now) : own);
+    HttpCaller::Call call;
+    call.to = *endpoint;
+    call.method = "POST";
+    call.target = "/news";
+    call.contentType = "application/octet-stream";
+    call.body = packed<wire::NewsAsk>(news);
+    call.timeout = hold + kAskMargin;
+    m_caller.start(std::move(call),
+                   [this, router, purpose](const CallAnswer &answer) { onAnswer(router, purpose, answer); });
+}
+
+void FleetLink::onAnswer(const KnownRouter &router, Purpose purpose, const CallAnswer &answer)
+{
+    const TimePoint now = m_clock();
+    m_known[router.address].isAsked = false;
+    auto news = answer.status == 200 ? unpacked<wire::NewsAnswer>(answer.body) : std::nullopt;
+    const bool isUsable = news && news->fresh && !news->leaving;
+    if (news) {
+        takeRecords(router, *news);
+        if (!news->leaving)
+            takeRequests(router, purpose, *news, now);
+    }
+    if (purpose == Purpose::Seed)
+        return;
+    const bool isFollowed = m_followed && m_followed->address == router.address;
+    if (isUsable || (news && purpose == Purpose::Exchange && !news->leaving)) {
+        m_directory.onGood(router.name);
+    } else {
+        if (news && news->leaving)
+            m_directory.onLeaving(router.name, now);
+        else
+            m_directory.onFailed(router.name, now);
+        if (isFollowed) {
+            LogLine(m_log, "router-lost", now)
+                .add("router", router.name)
+                .add("reason", !news ? std::string_view(answer.problem) : news->leaving ? "it stops" : "its news are old");
+            m_followed.reset();
+        }
+    }
+    if (isUsable && (isFollowed || purpose == Purpose::Probe)) {
+        m_freshAt = now;
+        if (!isFollowed) {
+            m_followed = router;
+            LogLine(m_log, "router-followed", now).add("router", router.name);
+        }
+    }
+    if (!m_stopping && purpose != Purpose::Exchange)
+        decide(now);
+}
+
+void FleetLink::takeRecords(const KnownRouter &router, wire::NewsAnswerT &news)
+{
+    Known &known = m_known[router.address];
+    known.source = news.source;
+    known.number = news.number;
+    bool changed = false;
+    for (const auto &wireRecord : news.records) {
+        FeedRecord record = fromWire(*wireRecord);
+        if (record.topic == kRouterTopic && record.value) {
+            const std::size_t cut = record.value->find('\n');
+            if (cut != std::string::npos && record.key != m_settings.self.name)
+                m_directory.add({record.key, ZoneId(record.value->substr(0, cut)), record.value->substr(cut + 1)});
+        }
+        changed = m_feed.put(std::move(record)) || changed;
+    }
+    if (!changed)
+        return;
+    m_listener.onFeedChanged();
+    publish();
+}
+
+void FleetLink::takeRequests(const KnownRouter &router, Purpose purpose, const wire::NewsAnswerT &news, TimePoint now)
+{
+    if (purpose == Purpose::Exchange)
+        m_digest.setZone(router.zone, fromWire(news.requests), now);
+    else if (purpose == Purpose::Follow)
+        m_digest.setOthers(fromWire(news.requests), now);
+    else
+        return;
+    m_listener.onOthersChanged();
+}
+
+void FleetLink::onRequest(const std::shared_ptr<CallerConnection> &caller, HttpHead, std::string body)
+{
+    const TimePoint now = m_clock();
+    auto ask = unpacked<wire::NewsAsk>(body);
+    if (!ask) {
+        caller->respond(400, {{"Content-Type", "text/plain"}}, "the body is no NewsAsk\n", true);
+        return;
+    }
+    const KnownRouter asker{ask->router, ZoneId(ask->zone), ask->address};
+    const std::uint64_t before = m_feed.number();
+    learnRouter(asker, ask->born);
+    if (asker.zone == m_settings.self.zone)
+        m_digest.setRouter(asker.name, fromWire(ask->requests), now);
+    else if (!ask->requests.empty())
+        m_digest.setZone(asker.zone, fromWire(ask->requests), now);
+    m_listener.onOthersChanged();
+    if (m_feed.number() != before)
+        publish();
+    const bool hasNews = ask->source != m_source || ask->since < m_feed.number();
+    if (hasNews || ask->holdMs == 0 || m_stopping || !isFreshForOthers(now)) {
+        answerAsk(*caller, *ask);
+        return;
+    }
+    const Duration hold = std::min(milliseconds(ask->holdMs), milliseconds(5000));
+    m_waiting.push_back({caller, std::move(*ask), now + hold});
+}
+
+void FleetLink::answerAsk(CallerConnection &caller, const wire::NewsAskT &ask)
+{
+    const TimePoint now = m_clock();
+    wire::NewsAnswerT news;
+    news.source = m_source;
+    news.number = m_feed.number();
+    news.fresh = isFreshForOthers(now);
+    news.leaving = m_stopping;
+    for (const FeedRecord *record : m_feed.since(ask.source == m_source ? ask.since : 0))
+        news.records.push_back(toWire(*record));
+    const ServerRequests own = m_listener.ownRequests();
+    const bool isNeighbour = ask.zone == m_settings.self.zone.value();
+    news.requests = toWire(isNeighbour ? m_digest.totalExcept(ask.router, own, now) : m_digest.zoneTotal(own, now));
+    caller.respond(200, {{"Content-Type", "application/octet-stream"}}, packed<wire::NewsAnswer>(news));
+}
+
+void FleetLink::publish()
+{
+    std::list<Waiting> waiting = std::exchange(m_waiting, {});
+    for (const Waiting &router : waiting) {
+        const auto caller = router.caller.lock();
+        if (caller && caller->isOpen())
+            answerAsk(*caller, router.ask);
+    }
+}
+
+void FleetLink::stop()
+{
+    m_stopping = true;
+    publish();
+}
+
+} // namespace comfrey
--- /dev/null
+++ b/src/routers/fleetlink.h
@@ -0,0 +1,133 @@
+// Keeps this router up to date through other routers, so that few of them read the platform's store:
+// it asks the first router of its zone, or reads the store itself if it is the first or nobody has
+// fresh news. Routers that read the store also exchange with the other zones.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "generated/routernews.generated.h"
+#include "routers/loaddigest.h"
+#include "routers/recordfeed.h"
+#include "routers/routerdirectory.h"
+#include "telemetry/eventlog.h"
+#include "traffic/callerconnection.h"
+#include "traffic/httpcall.h"
+
+namespace comfrey {
+
+class FleetLinkListener
+{
+public:
+    virtual ~FleetLinkListener() = default;
+    /// Another router told of records that were new.
+    virtual void onFeedChanged() = 0;
+    /// This router's own requests at each backend server.
+    virtual ServerRequests ownRequests() const = 0;
+    /// Another router told how many requests the others have.
+    virtual void onOthersChanged() = 0;
+};
+
+struct FleetLinkSettings
+{
+    KnownRouter self;
+    std::vector<std::string> seeds; ///< Addresses to ask while no other router is known.
+    std::uint64_t born = 0;         ///< Unix milliseconds of this start.
+};
+
+class FleetLink : public RequestHandler
+{
+public:
+    FleetLink(HttpCaller &caller, RecordFeed &feed, EventLog &log, std::function<TimePoint()> clock,
+              FleetLinkSettings settings, FleetLinkListener &listener);
+
+    void tick(TimePoint now);
+    /// The feed has changed by a read of the store: routers that wait for news get them.
+    void publish();
+    /// From now on other routers are told to ask somebody else.
+    void stop();
+    /// Whether reads of the store succeed, while this router reads it.
+    void setStoreWorks(bool works) { m_store = works ? StoreState::Works : StoreState::Fails; }
+
+    /// True while this router is to read the store itself.
+    bool readsStore() const { return m_readsStore; }
+    /// True if what is known is up to date with the store.
+    bool isFresh(TimePoint now) const;
+    /// True if others may rely on it. Only news of routers that go first counts, so that no two
+    /// routers take each other's for fresh.
+    bool isFreshForOthers(TimePoint now) const;
+    std::size_t ownRank() const { return m_directory.ownRank(); }
+    ServerRequests othersRequests(TimePoint now) const { return m_digest.others(now); }
+
+    void onRequest(const std::shared_ptr<CallerConnection> &caller, HttpHead head, std::string body) override;
+    const CallerLimits &limits() const override { return m_limits; }
+    bool isStopping() const override { return false; }
+    void onBadRequest(unsigned, std::string_view) override { }
+
+private:
+    /// What an answer is used for.
+    enum class Purpose : std::uint8_t {
+        Follow,   ///< Keeps this router up to date.
+        Probe,    ///< Shows whether a router that goes first has fresh news again.
+        Exchange, ///< Of requests and records between zones.
+        Seed,     ///< Finds other routers after the start.
+    };
+
+    /// How this router's own reads of the store go.
+    enum class StoreState : std::uint8_t { Unknown, Works, Fails };
+
+    /// A router that waits for news.
+    struct Waiting
+    {
+        std::weak_ptr<CallerConnection> caller;
+        wire::NewsAskT ask;
+        TimePoint until;
+    };
+
+    void ask(const KnownRouter &router, Purpose purpose, TimePoint now);
+    void onAnswer(const KnownRouter &router, Purpose purpose, const CallAnswer &answer);
+    void takeRecords(const KnownRouter &router, wire::NewsAnswerT &news);
+    void takeRequests(const KnownRouter &router, Purpose purpose, const wire::NewsAnswerT &news, TimePoint now);
+    void answerAsk(CallerConnection &caller, const wire::NewsAskT &ask);
+    void learnRouter(const KnownRouter &router, std::uint64_t born);
+    void decide(TimePoint now);
+    void setReadsStore(bool reads, TimePoint now, std::string_view why);
+    void exchange(TimePoint now);
+    Duration holdTime() const;
+
+    /// What another router told last.
+    struct Known
+    {
+        std::uint64_t source = 0;
+        std::uint64_t number = 0;
+        bool isAsked = false; ///< An answer is outstanding.
+    };
+
+    HttpCaller &m_caller;
+    RecordFeed &m_feed;
+    EventLog &m_log;
+    std::function<TimePoint()> m_clock;
+    FleetLinkSettings m_settings;
+    FleetLinkListener &m_listener;
+    CallerLimits m_limits;
+    RouterDirectory m_directory;
+    LoadDigest m_digest;
+    std::list<Waiting> m_waiting;
+    std::map<std::string, Known> m_known; ///< By address.
+    std::optional<KnownRouter> m_followed; ///< None while this router reads the store or has nobody to ask.
+    std::uint64_t m_source;                ///< This start, in own microseconds.
+    TimePoint m_startedAt;
+    TimePoint m_freshAt = TimePoint::min(); ///< Of the last fresh news from another router.
+    TimePoint m_exchangeAt = TimePoint::min();
+    TimePoint m_seedsAt = TimePoint::min();
+    bool m_readsStore = false;
+    StoreState m_store = StoreState::Unknown;
+    bool m_stopping = false;
+};
+
+} // namespace comfrey
--- /dev/null
+++ b/src/routers/recordfeed.cpp
@@ -0,0 +1,62 @@
+// Records by key and by number of their last change.
+#include "routers/recordfeed.h"
+
+#include <algorithm>
+
+namespace comfrey {
+
+bool RecordFeed::put(FeedRecord record)
+{
+    auto [found, isNew] = m_entries.try_emplace(Key(record.topic, record.key));
+    Entry &entry = found->second;
+    if (!isNew) {
+        if (record.order <= entry.record.order)
+            return false;
+        m_byNumber.erase(entry.number);
+    }
+    entry.record = std::move(record);
+    entry.number = ++m_number;
+    m_byNumber[entry.number] = &entry.record;
+    return true;
+}
+
+void RecordFeed::removeMissing(const std::string &topic, const std::vector<std::string> &listed,
+                               std::uint64_t end)
+{
+    if (end == 0)
+        return;
+    std::vector<std::string> missing;
+    for (const auto &[key, entry] : m_entries) {
+        if (entry.record.topic == topic && entry.record.value
+            && std::find(listed.begin(), listed.end(), entry.record.key) == listed.end())
+            missing.push_back(entry.record.key);
+    }
+    for (std::string &key : missing)
+        put({topic, std::move(key), std::nullopt, end - 1});
+}
+
+std::vector<const FeedRecord *> RecordFeed::since(std::uint64_t number) const
+{
+    std::vector<const FeedRecord *> changes;
+    for (auto at = m_byNumber.upper_bound(number); at != m_byNumber.end(); ++at)
+        changes.push_back(at->second);
+    return changes;
+}
+
+std::uint64_t RecordFeed::nextOrder(const std::string &topic) const
+{
+    std::uint64_t next = 0;
+    for (const auto &[key, entry] : m_entries) {
+        if (entry.record.topic == topic)
+            next = std::max(next, entry.record.order + 1);
+    }
+    return next;
+}
+
+const FeedRecord *RecordFeed::find(const std::string &topic, const std::string &key) const
+{
+    const auto found = m_entries.find(Key(topic, key));
+    return found == m_entries.end() ? nullptr : &found->second.record;
+}
+
+} // namespace comfrey
--- /dev/null
+++ b/src/routers/recordfeed.h
@@ -0,0 +1,53 @@
+// The newest record of each key of some topics, whoever told of it, with a number for each change,
+// so that another router can be told just what is new to it.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace comfrey {
+
+struct FeedRecord
+{
+    std::string topic;
+    std::string key;
+    std::optional<std::string> value; ///< None: the key was removed.
+    std::uint64_t order = 0;          ///< Grows with each change of the key.
+};
+
+class RecordFeed
+{
+public:
+    /// False if as new a record of the key is known already.
+    bool put(FeedRecord record);
+    /// Keys of `topic` that a whole list lacks are removed, unless they are newer than the list.
+    /// `end`: one more than the order of the newest record that the list may hold.
+    void removeMissing(const std::string &topic, const std::vector<std::string> &listed, std::uint64_t end);
+
+    /// The number of the last change; 0 before the first.
+    std::uint64_t number() const { return m_number; }
+    /// Changes after the one with that number, oldest first.
+    std::vector<const FeedRecord *> since(std::uint64_t number) const;
+    /// One more than the highest order in the topic; 0 if nothing is known of it.
+    std::uint64_t nextOrder(const std::string &topic) const;
+    const FeedRecord *find(const std::string &topic, const std::string &key) const;
+
+private:
+    struct Entry
+    {
+        FeedRecord record;
+        std::uint64_t number = 0; ///< Its place in m_byNumber.
+    };
+
+    using Key = std::pair<std::string, std::string>;
+
+    std::map<Key, Entry> m_entries;
+    std::map<std::uint64_t, const FeedRecord *> m_byNumber; ///< The last change of each key.
+    std::uint64_t m_number = 0;
+};
+
+} // namespace comfrey
--- /dev/null
+++ b/src/routers/routerdirectory.h
@@ -0,0 +1,61 @@
+// The routers that this one has heard of, by availability zone, and which of them it asks for news:
+// in each zone the first one in an order that all routers share reads the platform's store, and the
+// others ask it.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "comfrey/ids.h"
+#include "comfrey/units.h"
+
+namespace comfrey {
+
+struct KnownRouter
+{
+    std::string name;
+    ZoneId zone;
+    std::string address; ///< "IP:port" for other routers.
+};
+
+class RouterDirectory
+{
+public:
+    explicit RouterDirectory(KnownRouter self) : m_self(std::move(self)) { add(m_self); }
+
+    const KnownRouter &self() const { return m_self; }
+    void add(const KnownRouter &router);
+
+    /// The first router of the zone that may be asked now; none if each of them failed lately.
+    /// `selfFails`: this router can't read the store itself.
+    std::optional<KnownRouter> first(const ZoneId &zone, bool selfFails, TimePoint now) const;
+    /// The place of this router in its zone's order, from 0.
+    std::size_t ownRank() const;
+    /// True if the router comes before this one in its zone's order.
+    bool precedesSelf(const std::string &name) const;
+    std::size_t zoneSize(const ZoneId &zone) const;
+    std::vector<ZoneId> otherZones() const;
+
+    void onGood(const std::string &name);
+    /// It did not answer, or had no fresh news. It is asked again after a pause that grows.
+    void onFailed(const std::string &name, TimePoint now);
+    /// It is about to stop.
+    void onLeaving(const std::string &name, TimePoint now);
+
+private:
+    struct Entry
+    {
+        KnownRouter router;
+        std::uint32_t failures = 0; ///< In a row.
+        TimePoint askAgainAt = TimePoint::min();
+    };
+
+    KnownRouter m_self;
+    /// By zone and the hash of the name: the order that all routers share.
+    std::map<ZoneId, std::map<std::uint64_t, Entry>> m_zones;
+};
+
+} // namespace comfrey
