--- a/src/dispatch/replicachooser.cpp
+++ b/src/dispatch/replicachooser.cpp
@@ -80,10 +80,13 @@
     std::uint64_t bestWeight = 0;
     ReplicaPointer leastLoaded;
     double leastLoad = std::numeric_limits<double>::max();
+    std::uint64_t highestWeight = 0;
     for (const ReplicaPointer &replica : input.replicas) {
         if (rank(*replica, input.usualWait, now) > allowed)
             continue;
         const double load = replica->load.estimate(now);
+        const std::uint64_t weight = rendezvousWeight(key, replica->record.id.value());
+        highestWeight = std::max(highestWeight, weight);
         const double relative = load / replica->load.slots();
         if (relative < leastLoad) {
             leastLoad = relative;
@@ -91,7 +94,6 @@
         }
         if (load + 1 > bound || load + 1 > replica->load.slots())
             continue;
-        const std::uint64_t weight = rendezvousWeight(key, replica->record.id.value());
         if (!best || weight > bestWeight) {
             best = replica;
             bestWeight = weight;
@@ -99,6 +101,9 @@
     }
     Choice choice;
     choice.replica = best ? best : leastLoaded;
+    choice.reason = !best ? "all over the bound" : bestWeight == highestWeight ? "first in rank" : "first in rank under the bound";
+    choice.load = choice.replica->load.estimate(now);
+    choice.bound = bound;
     choice.promptSource = usualHolder(key, *choice.replica, input, now);
     return choice;
 }
@@ -121,7 +126,11 @@
         const double wait = std::max<double>(1000, static_cast<double>(replica.health.wait().count()));
         return wait * (1 + replica.load.estimate(now)) * (1 + kFailureWeight * replica.health.failureShare());
     };
-    return {score(**candidates[other]) < score(**candidates[one]) ? *candidates[other] : *candidates[one], nullptr};
+    Choice choice;
+    choice.replica = score(**candidates[other]) < score(**candidates[one]) ? *candidates[other] : *candidates[one];
+    choice.reason = "shorter wait of two";
+    choice.load = choice.replica->load.estimate(now);
+    return choice;
 }
 
 } // namespace comfrey
--- a/src/dispatch/replicachooser.h
+++ b/src/dispatch/replicachooser.h
@@ -25,8 +25,10 @@
 struct Choice
 {
     std::shared_ptr<Replica> replica; ///< Null only if there is no replica at all.
-    std::shared_ptr<Replica>
-        promptSource; ///< Likely has cached prompt parts that `replica` lacks; may be null.
+    std::shared_ptr<Replica> promptSource; ///< Likely has cached prompt parts that `replica` lacks; may be null.
+    const char *reason = "";               ///< For the log.
+    double load = 0;                       ///< Estimate of the replica's requests that the choice went by.
+    double bound = 0;                      ///< Load that it was held against; 0 if none.
 };
 
 class ReplicaChooser
--- a/src/dispatch/replicaload.h
+++ b/src/dispatch/replicaload.h
@@ -32,6 +32,13 @@
         m_othersAt = now;
     }
 
+    /// Of what others' requests are known by; zero if nothing is.
+    Duration age(TimePoint now) const
+    {
+        const TimePoint at = std::max(m_othersAt, m_reportedAt);
+        return at == TimePoint::min() ? Duration(0) : now - at;
+    }
+
     std::uint32_t ownInFlight() const { return m_ownInFlight; }
     /// Requests at the server: this router's own and what the others told, or the server's last report
     /// with this router's own changes since then; without either, this router's own.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -143,6 +143,15 @@
     const TimePoint callerEnd = m_facts.patience ? m_arrivedAt + *m_facts.patience : routeEnd;
     delivery.timeLeft = std::max(milliseconds(1), std::min(routeEnd, callerEnd) - now);
     delivery.lastEventId = m_events.lastId().empty() ? m_facts.lastEventId : m_events.lastId();
+    LogLine(m_gateway.parts().log, "request-sent", now)
+        .add("request", m_facts.id)
+        .add("server", m_replica->record.id.value())
+        .add("reason", choice.reason)
+        .add("load_tenths", static_cast<std::int64_t>(choice.load * 10))
+        .add("bound_tenths", static_cast<std::int64_t>(choice.bound * 10))
+        .add("load_age", m_replica->load.age(now))
+        .add("left", delivery.timeLeft)
+        .add("prompt_from", choice.promptSource ? std::string_view(choice.promptSource->record.id.value()) : "none");
     m_sentAt = now;
     m_relay = Relay::None;
     m_waitsForAnswer = true;
@@ -232,6 +241,7 @@
     }
     if (!m_firstByteSeen) {
         m_firstByteSeen = true;
+        m_firstByteAfter = elapsed();
         m_gateway.parts().metrics.observe("comfrey_first_byte_seconds",
                                           "route=\"" + m_admission.route->name + "\"", elapsed());
     }
@@ -435,6 +445,8 @@
             .add("route", route)
             .add("outcome", outcome)
             .add("status", status);
+        if (m_firstByteSeen)
+            line.add("first_byte", m_firstByteAfter);
         line.add("took", now - m_arrivedAt).add("sends", static_cast<std::int64_t>(m_tried.size()));
         if (!m_tried.empty())
             line.add("server", m_tried.back());
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -93,6 +93,7 @@
     EventCutter m_events;     ///< Of streams that may be resumed.
     bool m_resumable = false; ///< The answer is a stream that goes on elsewhere if it breaks.
     bool m_firstByteSeen = false;
+    Duration m_firstByteAfter{0}; ///< Since the arrival, of a streamed answer.
 };
 
 } // namespace comfrey
--- a/src/routers/fleetlink.cpp
+++ b/src/routers/fleetlink.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "routers/valuedelta.h"
 #include "traffic/callerlistener.h"
 
 namespace comfrey {
@@ -65,23 +66,58 @@
     return requests;
 }
 
-std::unique_ptr<wire::NewsRecordT> toWire(const FeedRecord &record)
+std::unique_ptr<wire::NewsRecordT> toWire(const FeedChange &change)
 {
+    const FeedRecord &record = *change.record;
     auto news = std::make_unique<wire::NewsRecordT>();
     news->topic = record.topic;
     news->key = record.key;
     news->removed = !record.value;
-    if (record.value)
-        news->value.assign(record.value->begin(), record.value->end());
     news->order = record.order;
+    news->baseOrder = change.baseOrder;
+    if (change.delta)
+        news->value.assign(change.delta->begin(), change.delta->end());
+    else if (record.value)
+        news->value.assign(record.value->begin(), record.value->end());
     return news;
 }
 
-FeedRecord fromWire(wire::NewsRecordT &news)
+/// Zone, address and standing, a line each.
+std::string recordOf(const KnownRouter &router)
+{
+    return router.zone.value() + '\n' + router.address + '\n' + std::to_string(router.standing);
+}
+
+std::optional<KnownRouter> routerOf(const FeedRecord &record)
+{
+    const std::size_t first = record.value->find('\n');
+    const std::size_t second = record.value->find('\n', first + 1);
+    if (first == std::string::npos || second == std::string::npos)
+        return std::nullopt;
+    const auto standing = static_cast<std::uint8_t>(std::strtoul(record.value->c_str() + second + 1, nullptr, 10));
+    return KnownRouter{record.key, ZoneId(record.value->substr(0, first)),
+                       record.value->substr(first + 1, second - first - 1), standing};
+}
+
+/// Nothing if the record tells the difference to one that `feed` does not have.
+std::optional<FeedRecord> fromWire(wire::NewsRecordT &news, const RecordFeed &feed)
 {
     FeedRecord record{std::move(news.topic), std::move(news.key), std::nullopt, news.order};
-    if (!news.removed)
-        record.value = std::string(news.value.begin(), news.value.end());
+    if (news.removed)
+        return record;
+    std::string value(news.value.begin(), news.value.end());
+    if (news.baseOrder == 0) {
+        record.value = std::move(value);
+        return record;
+    }
+    const FeedRecord *base = feed.find(record.topic, record.key);
+    if (base && base->order >= record.order)
+        return *base;
+    if (!base || base->order != news.baseOrder || !base->value)
+        return std::nullopt;
+    record.value = applyDelta(*base->value, value);
+    if (!record.value)
+        return std::nullopt;
     return record;
 }
 
@@ -105,7 +141,7 @@
 
 void FleetLink::learnRouter(const KnownRouter &router, std::uint64_t born)
 {
-    m_feed.put({kRouterTopic, router.name, router.zone.value() + '\n' + router.address, born});
+    m_feed.put({kRouterTopic, router.name, recordOf(router), born});
     m_directory.add(router);
 }
 
@@ -118,7 +154,7 @@
 {
     if (m_readsStore && m_store == StoreState::Works)
         return true;
-    return m_followed && m_directory.precedesSelf(m_followed->name) && now - m_freshAt < kFollowLimit;
+    return m_followed && m_directory.precedesSelf(*m_followed) && now - m_freshAt < kFollowLimit;
 }
 
 Duration FleetLink::holdTime() const
@@ -154,7 +190,7 @@
         m_seedsAt = now + kSeedPause * (isNew ? 1 : 4);
         for (const std::string &seed : seeds) {
             if (seed != ownAddress)
-                ask({{}, ZoneId(), seed}, Purpose::Seed, now);
+                ask({{}, ZoneId(), seed, 0}, Purpose::Seed, now);
         }
     }
     if (isNew && !isSeed && (isAlone || !m_followed)) {
@@ -216,6 +252,8 @@
     news.born = m_settings.born;
     news.source = known.source;
     news.since = known.number;
+    news.routersOnly = purpose == Purpose::Seed;
+    news.standing = m_settings.self.standing;
     const Duration hold = purpose == Purpose::Follow ? holdTime() : Duration(0);
     news.holdMs = static_cast<std::uint32_t>(hold.count() / 1000);
     const ServerRequests own = m_listener.ownRequests();
@@ -238,7 +276,7 @@
     auto news = answer.status == 200 ? unpacked<wire::NewsAnswer>(answer.body) : std::nullopt;
     const bool isUsable = news && news->fresh && !news->leaving;
     if (news) {
-        takeRecords(router, *news);
+        takeRecords(router, purpose, *news);
         if (!news->leaving)
             takeRequests(router, purpose, *news, now);
     }
@@ -270,20 +308,25 @@
         decide(now);
 }
 
-void FleetLink::takeRecords(const KnownRouter &router, wire::NewsAnswerT &news)
+void FleetLink::takeRecords(const KnownRouter &router, Purpose purpose, wire::NewsAnswerT &news)
 {
     Known &known = m_known[router.address];
-    known.source = news.source;
-    known.number = news.number;
+    if (purpose != Purpose::Seed) {
+        known.source = news.source;
+        known.number = news.number;
+    }
     bool changed = false;
     for (const auto &wireRecord : news.records) {
-        FeedRecord record = fromWire(*wireRecord);
-        if (record.topic == kRouterTopic && record.value) {
-            const std::size_t cut = record.value->find('\n');
-            if (cut != std::string::npos && record.key != m_settings.self.name)
-                m_directory.add({record.key, ZoneId(record.value->substr(0, cut)), record.value->substr(cut + 1)});
+        auto record = fromWire(*wireRecord, m_feed);
+        if (!record) {
+            known = Known(); // The next answer tells everything.
+            continue;
         }
-        changed = m_feed.put(std::move(record)) || changed;
+        if (record->topic == kRouterTopic && record->value && record->key != m_settings.self.name) {
+            if (const auto told = routerOf(*record))
+                m_directory.add(*told);
+        }
+        changed = m_feed.put(std::move(*record)) || changed;
     }
     if (!changed)
         return;
@@ -310,7 +353,7 @@
         caller->respond(400, {{"Content-Type", "text/plain"}}, "the body is no NewsAsk\n", true);
         return;
     }
-    const KnownRouter asker{ask->router, ZoneId(ask->zone), ask->address};
+    const KnownRouter asker{ask->router, ZoneId(ask->zone), ask->address, ask->standing};
     const std::uint64_t before = m_feed.number();
     learnRouter(asker, ask->born);
     if (asker.zone == m_settings.self.zone)
@@ -337,8 +380,10 @@
     news.number = m_feed.number();
     news.fresh = isFreshForOthers(now);
     news.leaving = m_stopping;
-    for (const FeedRecord *record : m_feed.since(ask.source == m_source ? ask.since : 0))
-        news.records.push_back(toWire(*record));
+    for (const FeedChange &change : m_feed.deltasSince(ask.source == m_source ? ask.since : 0)) {
+        if (!ask.routersOnly || change.record->topic == kRouterTopic)
+            news.records.push_back(toWire(change));
+    }
     const ServerRequests own = m_listener.ownRequests();
     const bool isNeighbour = ask.zone == m_settings.self.zone.value();
     news.requests = toWire(isNeighbour ? m_digest.totalExcept(ask.router, own, now) : m_digest.zoneTotal(own, now));
--- a/src/routers/fleetlink.h
+++ b/src/routers/fleetlink.h
@@ -91,7 +91,7 @@
 
     void ask(const KnownRouter &router, Purpose purpose, TimePoint now);
     void onAnswer(const KnownRouter &router, Purpose purpose, const CallAnswer &answer);
-    void takeRecords(const KnownRouter &router, wire::NewsAnswerT &news);
+    void takeRecords(const KnownRouter &router, Purpose purpose, wire::NewsAnswerT &news);
     void takeRequests(const KnownRouter &router, Purpose purpose, const wire::NewsAnswerT &news, TimePoint now);
     void answerAsk(CallerConnection &caller, const wire::NewsAskT &ask);
     void learnRouter(const KnownRouter &router, std::uint64_t born);
--- a/src/routers/recordfeed.cpp
+++ b/src/routers/recordfeed.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "routers/valuedelta.h"
+
 namespace comfrey {
 
 bool RecordFeed::put(FeedRecord record)
@@ -13,10 +15,15 @@
         if (record.order <= entry.record.order)
             return false;
         m_byNumber.erase(entry.number);
+        const bool isLong = entry.record.value && entry.record.value->size() >= kLongValue;
+        entry.lastValue = isLong ? std::move(*entry.record.value) : std::string();
+        entry.lastOrder = entry.record.order;
+        entry.lastNumber = entry.number;
+        entry.delta.clear();
     }
     entry.record = std::move(record);
     entry.number = ++m_number;
-    m_byNumber[entry.number] = &entry.record;
+    m_byNumber[entry.number] = &entry;
     return true;
 }
 
@@ -35,11 +42,28 @@
         put({topic, std::move(key), std::nullopt, end - 1});
 }
 
-std::vector<const FeedRecord *> RecordFeed::since(std::uint64_t number) const
+std::vector<FeedChange> RecordFeed::since(std::uint64_t number) const
 {
-    std::vector<const FeedRecord *> changes;
+    std::vector<FeedChange> changes;
     for (auto at = m_byNumber.upper_bound(number); at != m_byNumber.end(); ++at)
-        changes.push_back(at->second);
+        changes.push_back({&at->second->record, 0, nullptr});
+    return changes;
+}
+
+std::vector<FeedChange> RecordFeed::deltasSince(std::uint64_t number)
+{
+    std::vector<FeedChange> changes;
+    for (auto at = m_byNumber.upper_bound(number); at != m_byNumber.end(); ++at) {
+        Entry &entry = *at->second;
+        FeedChange change{&entry.record, 0, nullptr};
+        if (!entry.lastValue.empty() && entry.record.value && number >= entry.lastNumber) {
+            if (entry.delta.empty())
+                entry.delta = makeDelta(entry.lastValue, *entry.record.value);
+            change.baseOrder = entry.lastOrder;
+            change.delta = &entry.delta;
+        }
+        changes.push_back(change);
+    }
     return changes;
 }
 
--- a/src/routers/recordfeed.h
+++ b/src/routers/recordfeed.h
@@ -19,6 +19,14 @@
     std::uint64_t order = 0;          ///< Grows with each change of the key.
 };
 
+/// A change of a key, and how it can be told in short to who knows the one before.
+struct FeedChange
+{
+    const FeedRecord *record = nullptr;
+    std::uint64_t baseOrder = 0; ///< Of the record before, if `delta` is of use to the asking router; else 0.
+    const std::string *delta = nullptr;
+};
+
 class RecordFeed
 {
 public:
@@ -31,7 +39,9 @@
     /// The number of the last change; 0 before the first.
     std::uint64_t number() const { return m_number; }
     /// Changes after the one with that number, oldest first.
-    std::vector<const FeedRecord *> since(std::uint64_t number) const;
+    std::vector<FeedChange> since(std::uint64_t number) const;
+    /// The same for a router that knows the earlier ones, with differences where they are shorter.
+    std::vector<FeedChange> deltasSince(std::uint64_t number);
     /// One more than the highest order in the topic; 0 if nothing is known of it.
     std::uint64_t nextOrder(const std::string &topic) const;
     const FeedRecord *find(const std::string &topic, const std::string &key) const;
@@ -41,12 +51,19 @@
     {
         FeedRecord record;
         std::uint64_t number = 0; ///< Its place in m_byNumber.
+        /// Of the record before, for long values only.
+        std::string lastValue;
+        std::uint64_t lastOrder = 0;
+        std::uint64_t lastNumber = 0;
+        std::string delta; ///< From lastValue; made when it is first asked for.
     };
 
+    static constexpr std::size_t kLongValue = 4096; ///< Bytes from which the difference is worth making.
+
     using Key = std::pair<std::string, std::string>;
 
     std::map<Key, Entry> m_entries;
-    std::map<std::uint64_t, const FeedRecord *> m_byNumber; ///< The last change of each key.
+    std::map<std::uint64_t, Entry *> m_byNumber; ///< The last change of each key.
     std::uint64_t m_number = 0;
 };
 
--- a/src/routers/routerdirectory.cpp
+++ b/src/routers/routerdirectory.cpp
@@ -15,19 +15,35 @@
 
 } // namespace
 
+RouterDirectory::Place RouterDirectory::placeOf(const KnownRouter &router)
+{
+    return {router.standing, hashOf(router.name)};
+}
+
 void RouterDirectory::add(const KnownRouter &router)
 {
-    Entry &entry = m_zones[router.zone][hashOf(router.name)];
+    Entry &entry = m_zones[router.zone][placeOf(router)];
     if (entry.router.address != router.address)
         entry = Entry{router, 0, TimePoint::min()};
 }
 
+RouterDirectory::Entry *RouterDirectory::find(const std::string &name)
+{
+    for (auto &[zone, routers] : m_zones) {
+        for (auto &[place, entry] : routers) {
+            if (entry.router.name == name)
+                return &entry;
+        }
+    }
+    return nullptr;
+}
+
 std::optional<KnownRouter> RouterDirectory::first(const ZoneId &zone, bool selfFails, TimePoint now) const
 {
     const auto found = m_zones.find(zone);
     if (found == m_zones.end())
         return std::nullopt;
-    for (const auto &[hash, entry] : found->second) {
+    for (const auto &[place, entry] : found->second) {
         const bool isSelf = entry.router.name == m_self.name;
         if (isSelf ? !selfFails : now >= entry.askAgainAt)
             return entry.router;
@@ -38,12 +54,12 @@
 std::size_t RouterDirectory::ownRank() const
 {
     const auto &zone = m_zones.at(m_self.zone);
-    return static_cast<std::size_t>(std::distance(zone.begin(), zone.find(hashOf(m_self.name))));
+    return static_cast<std::size_t>(std::distance(zone.begin(), zone.find(placeOf(m_self))));
 }
 
-bool RouterDirectory::precedesSelf(const std::string &name) const
+bool RouterDirectory::precedesSelf(const KnownRouter &router) const
 {
-    return hashOf(name) < hashOf(m_self.name);
+    return placeOf(router) < placeOf(m_self);
 }
 
 std::size_t RouterDirectory::zoneSize(const ZoneId &zone) const
@@ -64,32 +80,23 @@
 
 void RouterDirectory::onGood(const std::string &name)
 {
-    for (auto &[zone, routers] : m_zones) {
-        const auto found = routers.find(hashOf(name));
-        if (found != routers.end())
-            found->second.failures = 0;
-    }
+    if (Entry *entry = find(name))
+        entry->failures = 0;
 }
 
 void RouterDirectory::onFailed(const std::string &name, TimePoint now)
 {
-    for (auto &[zone, routers] : m_zones) {
-        const auto found = routers.find(hashOf(name));
-        if (found == routers.end())
-            continue;
-        Entry &entry = found->second;
-        entry.askAgainAt = now + std::min(kLongestPause, kFirstPause * (1U << std::min(entry.failures, 4U)));
-        ++entry.failures;
-    }
+    Entry *entry = find(name);
+    if (!entry)
+        return;
+    entry->askAgainAt = now + std::min(kLongestPause, kFirstPause * (1U << std::min(entry->failures, 4U)));
+    ++entry->failures;
 }
 
 void RouterDirectory::onLeaving(const std::string &name, TimePoint now)
 {
-    for (auto &[zone, routers] : m_zones) {
-        const auto found = routers.find(hashOf(name));
-        if (found != routers.end())
-            found->second.askAgainAt = now + kLeavingPause;
-    }
+    if (Entry *entry = find(name))
+        entry->askAgainAt = now + kLeavingPause;
 }
 
 } // namespace comfrey
--- a/src/routers/routerdirectory.h
+++ b/src/routers/routerdirectory.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "comfrey/ids.h"
@@ -19,6 +20,7 @@
     std::string name;
     ZoneId zone;
     std::string address; ///< "IP:port" for other routers.
+    std::uint8_t standing = 0; ///< 0 for routers whose link and processor serve others well, more for others.
 };
 
 class RouterDirectory
@@ -35,7 +37,7 @@
     /// The place of this router in its zone's order, from 0.
     std::size_t ownRank() const;
     /// True if the router comes before this one in its zone's order.
-    bool precedesSelf(const std::string &name) const;
+    bool precedesSelf(const KnownRouter &router) const;
     std::size_t zoneSize(const ZoneId &zone) const;
     std::vector<ZoneId> otherZones() const;
 
@@ -54,8 +56,14 @@
     };
 
     KnownRouter m_self;
-    /// By zone and the hash of the name: the order that all routers share.
-    std::map<ZoneId, std::map<std::uint64_t, Entry>> m_zones;
+    /// By standing and the hash of the name: the order that all routers share.
+    using Place = std::pair<std::uint8_t, std::uint64_t>;
+    using Zone = std::map<Place, Entry>;
+
+    static Place placeOf(const KnownRouter &router);
+    Entry *find(const std::string &name);
+
+    std::map<ZoneId, Zone> m_zones;
 };
 
 } // namespace comfrey
--- /dev/null
+++ b/src/routers/valuedelta.cpp
@@ -0,0 +1,161 @@
+// Layout: hash of the base and of the target, 8 bytes each, then steps. A step is a copy (offset and
+// length in the base) or text (length and bytes). Numbers are 4 bytes, in the machine's order: all
+// routers run on one kind of machine.
+#include "routers/valuedelta.h"
+
+#include <cstdint>
+#include <cstring>
+#include <unordered_map>
+#include <vector>
+
+#include "placement/ranking.h"
+
+namespace comfrey {
+
+namespace {
+
+constexpr char kCopy = 'c';
+constexpr char kText = 't';
+
+template<typename Number>
+void append(std::string &out, Number number)
+{
+    out.append(reinterpret_cast<const char *>(&number), sizeof number);
+}
+
+template<typename Number>
+bool take(std::string_view &bytes, Number &number)
+{
+    if (bytes.size() < sizeof number)
+        return false;
+    std::memcpy(&number, bytes.data(), sizeof number);
+    bytes.remove_prefix(sizeof number);
+    return true;
+}
+
+/// Pieces that end with a closing brace: the objects of a JSON text, mostly.
+std::vector<std::string_view> pieces(std::string_view text)
+{
+    std::vector<std::string_view> found;
+    while (!text.empty()) {
+        const std::size_t brace = text.find('}');
+        const std::size_t length = brace == std::string_view::npos ? text.size() : brace + 1;
+        found.push_back(text.substr(0, length));
+        text.remove_prefix(length);
+    }
+    return found;
+}
+
+/// Collects steps and joins neighbours.
+class StepWriter
+{
+public:
+    explicit StepWriter(std::string &out) : m_out(out) { }
+
+    void copy(std::uint32_t offset, std::uint32_t length)
+    {
+        flushText();
+        if (m_copyLength > 0 && m_copyOffset + m_copyLength == offset) {
+            m_copyLength += length;
+            return;
+        }
+        flushCopy();
+        m_copyOffset = offset;
+        m_copyLength = length;
+    }
+
+    void text(std::string_view bytes)
+    {
+        flushCopy();
+        m_text.append(bytes);
+    }
+
+    void finish()
+    {
+        flushCopy();
+        flushText();
+    }
+
+private:
+    void flushCopy()
+    {
+        if (m_copyLength == 0)
+            return;
+        m_out += kCopy;
+        append(m_out, m_copyOffset);
+        append(m_out, m_copyLength);
+        m_copyLength = 0;
+    }
+
+    void flushText()
+    {
+        if (m_text.empty())
+            return;
+        m_out += kText;
+        append(m_out, static_cast<std::uint32_t>(m_text.size()));
+        m_out += m_text;
+        m_text.clear();
+    }
+
+    std::string &m_out;
+    std::uint32_t m_copyOffset = 0;
+    std::uint32_t m_copyLength = 0; ///< 0: no copy is collected.
+    std::string m_text;             ///< Empty while a copy is collected.
+};
+
+} // namespace
+
+std::string makeDelta(std::string_view base, std::string_view target)
+{
+    std::unordered_map<std::string_view, std::uint32_t> offsets;
+    std::uint32_t offset = 0;
+    for (const std::string_view piece : pieces(base)) {
+        offsets.emplace(piece, offset);
+        offset += static_cast<std::uint32_t>(piece.size());
+    }
+    std::string delta;
+    append(delta, hashOf(base));
+    append(delta, hashOf(target));
+    StepWriter steps(delta);
+    for (const std::string_view piece : pieces(target)) {
+        const auto found = offsets.find(piece);
+        if (found == offsets.end())
+            steps.text(piece);
+        else
+            steps.copy(found->second, static_cast<std::uint32_t>(piece.size()));
+    }
+    steps.finish();
+    return delta;
+}
+
+std::optional<std::string> applyDelta(std::string_view base, std::string_view delta)
+{
+    std::uint64_t baseHash = 0;
+    std::uint64_t targetHash = 0;
+    if (!take(delta, baseHash) || !take(delta, targetHash) || baseHash != hashOf(base))
+        return std::nullopt;
+    std::string target;
+    while (!delta.empty()) {
+        const char step = delta.front();
+        delta.remove_prefix(1);
+        std::uint32_t first = 0;
+        if (!take(delta, first))
+            return std::nullopt;
+        if (step == kText) {
+            if (delta.size() < first)
+                return std::nullopt;
+            target.append(delta.substr(0, first));
+            delta.remove_prefix(first);
+            continue;
+        }
+        std::uint32_t length = 0;
+        if (step != kCopy || !take(delta, length) || first > base.size() || base.size() - first < length)
+            return std::nullopt;
+        target.append(base.substr(first, length));
+    }
+    if (hashOf(target) != targetHash)
+        return std::nullopt;
+    return target;
+}
+
+} // namespace comfrey
