--- a/src/routers/fleetlink.cpp
+++ b/src/routers/fleetlink.cpp
@@ -14,8 +14,8 @@
 
 constexpr Duration kAskMargin = milliseconds(400);     ///< For an answer after it was held.
 constexpr Duration kExchangePause = milliseconds(300); // bytes between zones cost; the load of a server changes in about a second
-constexpr Duration kSeedPause = milliseconds(300);
-constexpr Duration kSeedTime = milliseconds(900);      ///< After the start, in which routers find each other.
+constexpr Duration kSeedPause = milliseconds(100);
+constexpr Duration kSeedTime = milliseconds(400);      ///< After the start, in which routers find each other.
 constexpr Duration kFollowLimit = milliseconds(900);   ///< Without fresh news for so long, a router reads the store itself.
 constexpr Duration kShortestHold = milliseconds(150);
 constexpr int kAsksPerSecond = 100;                    ///< That the asked router of a zone gets: a fraction of its processor
@@ -74,6 +74,7 @@
     news->key = record.key;
     news->removed = !record.value;
     news->order = record.order;
+    news->isDelta = change.delta != nullptr;
     news->baseOrder = change.baseOrder;
     if (change.delta)
         news->value.assign(change.delta->begin(), change.delta->end());
@@ -106,7 +107,7 @@
     if (news.removed)
         return record;
     std::string value(news.value.begin(), news.value.end());
-    if (news.baseOrder == 0) {
+    if (!news.isDelta) {
         record.value = std::move(value);
         return record;
     }
@@ -187,7 +188,7 @@
     const bool isSeed = std::find(seeds.begin(), seeds.end(), ownAddress) != seeds.end();
     const bool isAlone = m_directory.zoneSize(m_settings.self.zone) <= 1;
     if ((isNew || !isFresh(now)) && now >= m_seedsAt) {
-        m_seedsAt = now + kSeedPause * (isNew ? 1 : 4);
+        m_seedsAt = now + kSeedPause * (isNew ? 1 : 12);
         for (const std::string &seed : seeds) {
             if (seed != ownAddress)
                 ask({{}, ZoneId(), seed, 0}, Purpose::Seed, now);
--- a/src/routers/recordfeed.h
+++ b/src/routers/recordfeed.h
@@ -23,7 +23,7 @@
 struct FeedChange
 {
     const FeedRecord *record = nullptr;
-    std::uint64_t baseOrder = 0; ///< Of the record before, if `delta` is of use to the asking router; else 0.
+    std::uint64_t baseOrder = 0; ///< Of the record before, if there is a delta.
     const std::string *delta = nullptr;
 };
 
