--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -14,7 +14,7 @@
 } // namespace
 
 Dispatcher::Dispatcher(const DispatcherSettings &settings)
-    : m_settings(settings), m_random(settings.seed)
+    : m_settings(settings), m_replicas(settings.lapseGrace), m_random(settings.seed)
 { }
 
 bool Dispatcher::apply(FleetConfig config)
--- a/src/dispatch/replicatable.cpp
+++ b/src/dispatch/replicatable.cpp
@@ -58,10 +58,13 @@
     const auto found = m_replicas.find(id);
     if (found == m_replicas.end())
         return;
-    const bool mayHaveLapsed =
-        m_storeLost || (m_storeBackAt != TimePoint::min() && now < m_storeBackAt + kLapseGrace);
-    if (mayHaveLapsed && !found->second->isLeaving) {
-        found->second->doubtedUntil = m_storeLost ? kNever : m_storeBackAt + kLapseGrace;
+    const bool mayHaveLapsed = m_storeLost || (m_storeBackAt != TimePoint::min() && now < m_storeBackAt + m_lapseGrace);
+    Replica &replica = *found->second;
+    if (mayHaveLapsed && !replica.isLeaving) {
+        // From now, not from the store's return: only the way to the store may have been cut, and
+        // then the server really left.
+        if (replica.doubtedUntil == kNever)
+            replica.doubtedUntil = now + m_lapseGrace;
         return;
     }
     erase(id, now);
--- a/src/dispatch/replicatable.h
+++ b/src/dispatch/replicatable.h
@@ -43,6 +43,9 @@
 class ReplicaTable
 {
 public:
+    /// `lapseGrace`: how long a server whose record lapsed while the store was down may take to be
+    /// listed again; shorter than the time within which a leaving server must get no more work.
+    explicit ReplicaTable(Duration lapseGrace) : m_lapseGrace(lapseGrace) { }
     /// A record without a removal. False if it tells nothing new.
     bool put(const ReplicaRecord &record, TimePoint now);
     /// The server's record was removed, or can't be read.
@@ -50,7 +53,7 @@
     /// The server itself said that another one has its address.
     void disown(const BackendId &id);
 
-    /// Between the two, and for kLapseGrace after, a missing record does not mean a server that
+    /// Between the two, and for the grace after, a missing record does not mean a server that
     /// left.
     void onStoreLost(TimePoint now);
     void onStoreBack(TimePoint now);
@@ -64,11 +67,6 @@
     std::vector<std::shared_ptr<Replica>> all() const;
     std::size_t size() const { return m_replicas.size(); }
 
-    /// Servers whose records lapsed while the store was down are back within this time if they
-    /// live.
-    static constexpr Duration kLapseGrace =
-        milliseconds(2200); // 2 s by the platform's page, and the way here
-
 private:
     struct Ended
     {
@@ -80,6 +78,7 @@
     bool isStale(const ReplicaRecord &record) const;
     void erase(const BackendId &id, TimePoint now);
 
+    Duration m_lapseGrace;
     std::map<BackendId, std::shared_ptr<Replica>> m_replicas;
     std::map<BackendId, Ended>
         m_ended; ///< Removed ones: a delayed report must not bring them back.
