--- /dev/null
+++ b/tests/traffic/parsingtest.cpp
@@ -0,0 +1,250 @@
+// Bytes in any cut: messages, events, records of the platform.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "decoders.h"
+#include "gateway/eventcutter.h"
+#include "headers.h"
+#include "telemetry/eventlog.h"
+#include "traffic/httpparser.h"
+
+#include <unistd.h>
+
+using namespace comfrey;
+
+namespace {
+
+const std::string kChunked = "HTTP/1.1 200 OK\r\nX-A: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                             "5\r\nhello\r\n6;ext=1\r\n world\r\n0\r\nX-Trailer: t\r\n\r\n";
+
+} // namespace
+
+class ParsingTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ParsingTest);
+    CPPUNIT_TEST(chunkedAnswerIsReadInAnyCut);
+    CPPUNIT_TEST(bytesAfterTheAnswerAreLeftOver);
+    CPPUNIT_TEST(answerWithoutLengthIsCompleteOnlyAtItsEnd);
+    CPPUNIT_TEST(answerThatEndsEarlyIsNotComplete);
+    CPPUNIT_TEST(answerToHeadHasNoBody);
+    CPPUNIT_TEST(eventsAreCutWholeInAnyCut);
+    CPPUNIT_TEST(replicaRecordWithWrongTypesIsRefused);
+    CPPUNIT_TEST(replicaRecordIsRead);
+    CPPUNIT_TEST(configIsRead);
+    CPPUNIT_TEST(configThatLacksWhatRoutesNeedIsRefused);
+    CPPUNIT_TEST(requestFactsAreRead);
+    CPPUNIT_TEST(requestNeedsOneHostAndOneId);
+    CPPUNIT_TEST(answerFactsAreRead);
+    CPPUNIT_TEST(logLinesAreQuotedAndBounded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void chunkedAnswerIsReadInAnyCut()
+    {
+        for (std::size_t cut = 0; cut <= kChunked.size(); ++cut) {
+            ResponseParser parser(1000, 1000);
+            std::string unparsed = kChunked.substr(0, cut);
+            unparsed.erase(0, parser.feed(unparsed));
+            CPPUNIT_ASSERT_EQUAL(cut == kChunked.size(), parser.isComplete());
+            unparsed += kChunked.substr(cut);
+            unparsed.erase(0, parser.feed(unparsed));
+            CPPUNIT_ASSERT(parser.isComplete());
+            CPPUNIT_ASSERT(unparsed.empty());
+            CPPUNIT_ASSERT_EQUAL(std::string("hello world"), parser.takeBody());
+            CPPUNIT_ASSERT(parser.head().isChunked);
+        }
+    }
+
+    void bytesAfterTheAnswerAreLeftOver()
+    {
+        ResponseParser parser(1000, 1000);
+        const std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 500";
+        CPPUNIT_ASSERT_EQUAL(bytes.size() - 12, parser.feed(bytes));
+        CPPUNIT_ASSERT(parser.isComplete());
+        CPPUNIT_ASSERT_EQUAL(std::string("ok"), parser.takeBody());
+    }
+
+    void answerWithoutLengthIsCompleteOnlyAtItsEnd()
+    {
+        ResponseParser parser(1000, 1000);
+        parser.feed("HTTP/1.1 200 OK\r\n\r\nsome");
+        CPPUNIT_ASSERT(!parser.isComplete());
+        CPPUNIT_ASSERT(parser.head().endsWithConnection());
+        parser.feedEnd();
+        CPPUNIT_ASSERT(parser.isComplete());
+    }
+
+    void answerThatEndsEarlyIsNotComplete()
+    {
+        for (const std::string head : {"Content-Length: 9\r\n", "Transfer-Encoding: chunked\r\n"}) {
+            ResponseParser parser(1000, 1000);
+            parser.feed("HTTP/1.1 200 OK\r\n" + head + "\r\n4\r\nhalf\r\n");
+            parser.feedEnd();
+            CPPUNIT_ASSERT_EQUAL(head[0] == 'C', parser.isComplete() && parser.body().size() == 9);
+            CPPUNIT_ASSERT(head[0] == 'C' || parser.fault() == ParseFault::Malformed);
+        }
+    }
+
+    void answerToHeadHasNoBody()
+    {
+        ResponseParser parser(1000, 1000);
+        parser.expectNoBody();
+        parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+        CPPUNIT_ASSERT(parser.isComplete());
+    }
+
+    void eventsAreCutWholeInAnyCut()
+    {
+        const std::string events =
+            "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: none\n\nid:3\ndata: part";
+        for (std::size_t cut = 0; cut <= events.size(); ++cut) {
+            EventCutter cutter;
+            std::string whole = cutter.feed(events.substr(0, cut));
+            whole += cutter.feed(events.substr(cut));
+            CPPUNIT_ASSERT_EQUAL(events.substr(0, events.find("id:3")), whole);
+            CPPUNIT_ASSERT_EQUAL(std::string("2"), cutter.lastId());
+            CPPUNIT_ASSERT_EQUAL(std::string("id:3\ndata: part"), cutter.rest());
+        }
+    }
+
+    void replicaRecordWithWrongTypesIsRefused()
+    {
+        const std::string good =
+            R"({"service":"s","address":"a:1","zone":"z","slots":8,"state":"ready","seq":4,"born":9})";
+        CPPUNIT_ASSERT(platform::decodeReplica("e", good));
+        const std::vector<std::pair<std::string, std::string>> edits = {
+            {"\"service\":\"s\"", "\"service\":7"},
+            {"\"slots\":8", "\"slots\":\"8\""},
+            {"\"slots\":8", "\"slots\":-8"},
+            {"\"ready\"", "\"resting\""},
+            {"\"seq\":4", "\"seq\":null"},
+            {"\"zone\":\"z\",", ""},
+            {"{", "["},
+            {"\"born\":9", "\"born\":\"x\""}};
+        for (const auto &[from, to] : edits) {
+            std::string bad = good;
+            bad.replace(bad.find(from), from.size(), to);
+            CPPUNIT_ASSERT_MESSAGE(bad, !platform::decodeReplica("e", bad));
+        }
+        CPPUNIT_ASSERT(!platform::decodeReplica("e", "\xff\x00 no"));
+    }
+
+    void replicaRecordIsRead()
+    {
+        const auto record = platform::decodeReplica(
+            "e",
+            R"({"service":"s","address":"a:1","zone":"z","slots":8,"state":"draining","seq":4,"born":9,"new":1})");
+        CPPUNIT_ASSERT(record);
+        CPPUNIT_ASSERT(record->isDraining);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(8), record->slots);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), record->born);
+    }
+
+    void configIsRead()
+    {
+        const auto config = platform::decodeConfig(
+            R"({"version":7,"routes":[{"name":"r","host":"H.example","path_prefix":"/x/","kind":"streaming","timeout_ms":12000,
+                "target_latency_ms":500,"priority":1,"traffic_split":[{"service":"a","weight":90},{"service":"b","weight":10}],
+                "max_attempts":2,"public":false,"can_resume":true,"target_gap_ms":200},
+               {"name":"q","host":"h","path_prefix":"/","kind":"something new","timeout_ms":1,"service":"a"}],
+               "services":[{"name":"a","max_connections":250,"engine":{"slots":32,"kv_capacity_tokens":811330}}],
+               "limits":{"idle_timeout_ms":15000},"tenants":[{"name":"t","api_keys":["k"],"priority":1}]})");
+        CPPUNIT_ASSERT(config);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), config->version);
+        CPPUNIT_ASSERT_EQUAL(std::string("h.example"), config->routes[0].host);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), config->routes[0].targets.size());
+        CPPUNIT_ASSERT(config->routes[0].mayRepeat());
+        CPPUNIT_ASSERT(config->routes[1].kind == RouteKind::AtMostOnce);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(32), config->services[0].engine->slots);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), *config->organisations[0].priority);
+    }
+
+    void configThatLacksWhatRoutesNeedIsRefused()
+    {
+        CPPUNIT_ASSERT(!platform::decodeConfig("{}"));
+        CPPUNIT_ASSERT(!platform::decodeConfig("not json"));
+        const auto config = platform::decodeConfig(R"({"version":1,"routes":[{"name":"r"}]})");
+        CPPUNIT_ASSERT(!config);
+        CPPUNIT_ASSERT(config.error().text.find("host") != std::string::npos);
+    }
+
+    void requestFactsAreRead()
+    {
+        HttpHead head;
+        head.method = "POST";
+        head.target = "/x/y";
+        head.fields = {
+            {"host", "A.example:1"},      {"x-request-id", "r1"},
+            {"X-Deadline-Ms", "1500"},    {"Authorization", "Bearer k"},
+            {"X-Token-Usage", "1460,80"}, {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"}};
+        const auto facts = m_headers.readRequest(head, "body");
+        CPPUNIT_ASSERT(facts);
+        CPPUNIT_ASSERT_EQUAL(std::string("a.example"), facts->host);
+        CPPUNIT_ASSERT_EQUAL(std::string("k"), facts->apiKey);
+        CPPUNIT_ASSERT(milliseconds(1500) == *facts->patience);
+        CPPUNIT_ASSERT_EQUAL(Tokens(80), facts->maxOutputTokens);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), facts->prompt.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0x5c1e07a2), facts->prompt[0].id);
+        CPPUNIT_ASSERT(m_headers.readRequest(head, "other")->fingerprint != facts->fingerprint);
+    }
+
+    void requestNeedsOneHostAndOneId()
+    {
+        HttpHead head;
+        head.target = "/";
+        head.fields = {{"Host", "a"}, {"X-Request-Id", "1"}};
+        CPPUNIT_ASSERT(m_headers.readRequest(head, ""));
+        head.add("X-Request-Id", "2");
+        CPPUNIT_ASSERT(!m_headers.readRequest(head, ""));
+        head.fields = {{"Host", "a"}, {"Host", "b"}, {"X-Request-Id", "1"}};
+        CPPUNIT_ASSERT(!m_headers.readRequest(head, ""));
+        head.fields = {{"Host", "a"}, {"X-Request-Id", "1"}};
+        head.target = "*";
+        CPPUNIT_ASSERT(!m_headers.readRequest(head, ""));
+    }
+
+    void answerFactsAreRead()
+    {
+        HttpHead head;
+        head.status = 200;
+        head.fields = {{"X-Response-Signature", "s"}, {"X-Replica-Load", "3, 1,8,100"}};
+        const AnswerFacts facts = m_headers.readAnswer(head);
+        CPPUNIT_ASSERT(facts.isGenuine);
+        CPPUNIT_ASSERT(!facts.isNotRun);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), facts.load->waiting);
+        head.status = 421;
+        head.fields.clear();
+        CPPUNIT_ASSERT(m_headers.readAnswer(head).isOtherServer);
+        CPPUNIT_ASSERT(!m_headers.readAnswer(head).load);
+    }
+
+    void logLinesAreQuotedAndBounded()
+    {
+        int ends[2];
+        CPPUNIT_ASSERT_EQUAL(0, ::pipe(ends));
+        EventLog log(ends[1]);
+        LogLine(log, "e", TimePoint())
+            .add("text", "a \"b\"\n")
+            .add("n", std::int64_t(-3))
+            .add("d", milliseconds(15));
+        for (int line = 0; line < 3000; ++line)
+            LogLine(log, "many", TimePoint());
+        log.flush();
+        std::string text(4096, '\0');
+        text.resize(static_cast<std::size_t>(::read(ends[0], text.data(), text.size())));
+        CPPUNIT_ASSERT_EQUAL(std::string("t=0.0 event=e text=\"a \\\"b\\\" \" n=-3 d_ms=15.0"),
+                             text.substr(0, text.find('\n')));
+        LogLine(log, "next", TimePoint(milliseconds(1000)));
+        std::string rest(1 << 20, '\0');
+        ::close(ends[1]);
+        std::size_t lines = 0;
+        for (ssize_t count = 0; (count = ::read(ends[0], rest.data(), rest.size())) > 0;)
+            lines += static_cast<std::size_t>(std::count(rest.begin(), rest.begin() + count, '\n'));
+        CPPUNIT_ASSERT(lines < 1600);
+        ::close(ends[0]);
+    }
+
+private:
+    platform::PlatformHeaders m_headers;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ParsingTest);
--- a/tools/run/test.sh
+++ b/tools/run/test.sh
@@ -46,7 +46,7 @@
 checkCppcheck() {
     cppcheck --std=c++20 --language=c++ --enable=warning,performance,portability --inline-suppr \
         --suppress=missingIncludeSystem --suppress=unknownMacro --error-exitcode=1 --quiet -j "$(nproc)" \
-        -I include -I src -i src/generated src tools tests benchmark
+        -I include -I src -i src/generated src platform tools tests benchmark
 }
 
 step "build" configureAndBuild build "" || true
@@ -54,8 +54,10 @@
 step "cppcheck" checkCppcheck
 step "clang-tidy" bash tools/run/tidy.sh build
 suite "tests" build/tests/comfreytests
-step "build with ASan and UBSan" configureAndBuild build-asan address,undefined comfreytests
+suite "traffic tests" build/tests/traffic/traffictests
+step "build with ASan and UBSan" configureAndBuild build-asan address,undefined comfreytests traffictests
 suite "tests under ASan and UBSan" build-asan/tests/comfreytests
+suite "traffic tests under ASan and UBSan" build-asan/tests/traffic/traffictests
 if [ -f tests/threaded/CMakeLists.txt ]; then
     step "build with TSan" configureAndBuild build-tsan thread threadedtests
     suite "threaded tests under TSan" build-tsan/tests/threaded/threadedtests
