Routers: an answer about routers only does not count for other topics; mute servers are found

Change: a position for each; a wait over the silence limit is a failure of the server; two failures in a row set a server aside, trials end one by one.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -134,9 +134,9 @@
     replica.health.onBrokenOff(usualFailureShare(replica), now);
 }
 
-void Dispatcher::onAbandoned(Replica &replica)
+void Dispatcher::onAbandoned(Replica &replica, Duration waited, TimePoint now)
 {
-    replica.health.onAbandoned();
+    replica.health.onAbandoned(waited, usualWait(replica.record.service), usualFailureShare(replica), now);
 }
 
 void Dispatcher::onEnded(Replica &replica)
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -80,7 +80,7 @@
     void onFailure(Replica &replica, TimePoint now);
     void onUnreachable(Replica &replica, TimePoint now);
     void onBrokenOff(Replica &replica, TimePoint now);
-    void onAbandoned(Replica &replica);
+    void onAbandoned(Replica &replica, Duration waited, TimePoint now);
     /// The request holds no place at the server any more.
     void onEnded(Replica &replica);
 
--- a/src/dispatch/replicahealth.cpp
+++ b/src/dispatch/replicahealth.cpp
@@ -7,11 +7,9 @@
 
 namespace {
 
-constexpr double kFailureWeight =
-    0.1; ///< Of one result in the smoothed share: about the last ten count.
+constexpr double kFailureWeight = 0.25; ///< Of one result in the smoothed share: two failures in a row tell.
 constexpr double kWaitWeight = 0.1; ///< Of one answer in the smoothed wait.
-constexpr double kShareOverUsual =
-    0.25; ///< Failures over the others' share: another server serves callers better.
+constexpr double kShareOverUsual = 0.3; ///< Failures over the others' share: another server serves callers better.
 constexpr Duration kFirstSetAside = milliseconds(500);
 constexpr Duration kLongestSetAside =
     milliseconds(4000); // a crashed server is back after some seconds
@@ -19,6 +17,12 @@
     milliseconds(400);            // below it, a long prompt ahead looks the same
 constexpr int kSilenceFactor = 6; ///< Times the usual wait: far in the tail of a busy server.
 
+/// No answer after so long is no matter of load.
+Duration silenceLimit(Duration usualWait)
+{
+    return std::max(kShortestSilence, usualWait * kSilenceFactor);
+}
+
 } // namespace
 
 void ReplicaHealth::onSent(TimePoint now)
@@ -39,7 +43,7 @@
     const auto sample = static_cast<double>(waited.count());
     m_waitUs = m_waitUs == 0 ? sample : m_waitUs + kWaitWeight * (sample - m_waitUs);
     m_failureShare *= 1 - kFailureWeight;
-    m_setAsides = 0;
+    m_setAsides -= m_setAsides > 0 ? 1 : 0;
     m_unreachable = false;
     m_setAsideUntil = TimePoint::min();
     endWait(now);
@@ -72,8 +76,12 @@
     endWait(now);
 }
 
-void ReplicaHealth::onAbandoned()
+void ReplicaHealth::onAbandoned(Duration waited, Duration usualWait, double usualShare, TimePoint now)
 {
+    if (waited > silenceLimit(usualWait)) {
+        onFailure(usualShare, now);
+        return;
+    }
     if (m_open > 0)
         --m_open;
     if (m_open == 0)
@@ -96,7 +104,7 @@
     if (m_setAsides > 0 && m_open > 0)
         return true; // One trial at a time until it answers well.
     return m_silentSince != kNever
-        && now - m_silentSince > std::max(kShortestSilence, usualWait * kSilenceFactor);
+        && now - m_silentSince > silenceLimit(usualWait);
 }
 
 } // namespace comfrey
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -275,7 +275,7 @@
     switch (relay) {
     case Relay::Discard:
         if (m_waitsForAnswer)
-            dispatcher().onAbandoned(*replica);
+            dispatcher().onAbandoned(*replica, Duration(0), now);
         m_waitsForAnswer = false;
         endSending(now);
         afterSend(SendEnd::NotRun, "the backend server did not run it");
@@ -337,7 +337,7 @@
     if (!m_replica)
         return;
     if (std::exchange(m_waitsForAnswer, false))
-        dispatcher().onAbandoned(*m_replica);
+        dispatcher().onAbandoned(*m_replica, m_gateway.now() - m_sentAt, m_gateway.now());
     dispatcher().onEnded(*m_replica);
     if (m_connection)
         std::exchange(m_connection, nullptr)->drop();
--- a/src/gateway/fleetlink.cpp
+++ b/src/gateway/fleetlink.cpp
@@ -261,10 +261,9 @@
     news.born = m_settings.born;
     // Between zones both sides read the store; probes only show whether a router is up to date.
     news.routersOnly = purpose != Purpose::Follow && (purpose != Purpose::Exchange || isFresh(now));
-    if (known.hasAll || news.routersOnly) {
-        news.source = known.source;
-        news.since = known.number;
-    }
+    const Position &position = news.routersOnly ? known.routers : known.all;
+    news.source = position.source;
+    news.since = position.number;
     news.standing = m_settings.self.standing;
     const Duration hold = purpose == Purpose::Follow ? holdTime() : Duration(0);
     news.holdMs = static_cast<std::uint32_t>(hold.count() / 1000);
@@ -330,15 +329,14 @@
 void FleetLink::takeRecords(const KnownRouter &router, bool hadAll, wire::NewsAnswerT &news)
 {
     Known &known = m_known[router.address];
-    const bool isSameStart = known.source == news.source;
-    known.hasAll = hadAll || (known.hasAll && isSameStart && news.records.empty());
-    known.source = news.source;
-    known.number = news.number;
+    known.routers = {news.source, news.number};
+    if (hadAll)
+        known.all = known.routers;
     bool changed = false;
     for (const auto &wireRecord : news.records) {
         auto record = fromWire(*wireRecord, m_feed);
         if (!record) {
-            known = Known(); // The next answer tells everything.
+            known.all = Position(); // The next answer tells everything.
             continue;
         }
         if (record->topic == kRouterTopic && record->value && record->key != m_settings.self.name) {
--- a/src/gateway/fleetlink.h
+++ b/src/gateway/fleetlink.h
@@ -104,13 +104,18 @@
     void exchange(TimePoint now);
     Duration holdTime() const;
 
-    /// What another router told last.
-    struct Known
+    /// Up to where another router's changes are known.
+    struct Position
     {
-        std::uint64_t source = 0;
+        std::uint64_t source = 0; ///< The router's start that `number` belongs to.
         std::uint64_t number = 0;
-        bool hasAll =
-            false; ///< Records of all topics up to `number` are known, not only of routers.
+    };
+
+    /// What another router told.
+    struct Known
+    {
+        Position all;     ///< Of records of all topics.
+        Position routers; ///< Of records of routers.
         bool isAsked = false; ///< An answer is outstanding.
     };
 
--- a/src/telemetry/eventlog.h
+++ b/src/telemetry/eventlog.h
@@ -45,7 +45,7 @@
     friend class LogLine;
     void take(std::string &&line, TimePoint now);
 
-    static constexpr std::size_t kMaxBuffered = 256 * 1024; // a second of lines at the limit below
+    static constexpr std::size_t kMaxBuffered = 262144; // a second of lines at the limit below
     static constexpr std::uint32_t kMaxLinesPerSecond =
         1500; // several times a router's busiest requests
 
--- a/tests/dispatchlimitstest.cpp
+++ b/tests/dispatchlimitstest.cpp
@@ -36,6 +36,9 @@
     CPPUNIT_TEST(failingServerIsSetAsideAndComesBackByOneTrial);
     CPPUNIT_TEST(serverThatFailsAsOthersDoStaysInUse);
     CPPUNIT_TEST(silentServerIsDoubtedWithoutAnyAnswer);
+    CPPUNIT_TEST(serverWhoseCallersGiveUpIsSetAside);
+    CPPUNIT_TEST(callersThatLeaveEarlySayNothingOfTheServer);
+    CPPUNIT_TEST(greyServerIsFoundWithinAFewRequests);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -179,6 +182,53 @@
         CPPUNIT_ASSERT(!health.isDoubtful(milliseconds(500), at(600)));
     }
 
+/// Bench: tsetseg-swarmline inc-a955. Servers that took requests and said nothing for 2 s, until
+    /// their callers left.
+    void serverWhoseCallersGiveUpIsSetAside()
+    {
+        ReplicaHealth health;
+        for (int request = 0; request < 2; ++request) {
+            health.onSent(at(3000 * request));
+            health.onAbandoned(milliseconds(2000), milliseconds(40), 0, at(3000 * request + 2000));
+        }
+        CPPUNIT_ASSERT(health.isDoubtful(milliseconds(40), at(5100)));
+    }
+
+    void callersThatLeaveEarlySayNothingOfTheServer()
+    {
+        ReplicaHealth health;
+        for (int request = 0; request < 20; ++request) {
+            health.onSent(at(100 * request));
+            health.onAbandoned(milliseconds(50), milliseconds(40), 0, at(100 * request + 50));
+        }
+        CPPUNIT_ASSERT(!health.isDoubtful(milliseconds(40), at(2100)));
+        CPPUNIT_ASSERT_EQUAL(0.0, health.failureShare());
+    }
+
+    /// Load: a server that fails 40% of its requests beside servers that fail none; a router sends it
+    /// about one request a second.
+    void greyServerIsFoundWithinAFewRequests()
+    {
+        std::mt19937_64 random(5);
+        int sent = 0;
+        for (int round = 0; round < 200; ++round) {
+            ReplicaHealth health;
+            TimePoint now = at(0);
+            while (!health.isDoubtful(milliseconds(40), now)) {
+                ++sent;
+                health.onSent(now);
+                if (random() % 10 < 4)
+                    health.onFailure(0, now);
+                else
+                    health.onAnswer(milliseconds(40), now);
+                if (health.isDoubtful(milliseconds(40), now))
+                    break;
+                now += milliseconds(1000);
+            }
+        }
+        CPPUNIT_ASSERT(sent <= 200 * 8);
+    }
+
 private:
     static Admission admitted(Dispatcher &dispatcher, RouteKind kind, bool canResume,
                               std::uint32_t maxAttempts)
--- a/tests/traffic/storetest.cpp
+++ b/tests/traffic/storetest.cpp
@@ -172,6 +172,7 @@
     CPPUNIT_TEST(oneRouterReadsTheStoreAndTheOthersHearOfIt);
     CPPUNIT_TEST(nextRouterReadsWhenTheFirstOneStops);
     CPPUNIT_TEST(routersLearnEachOthersRequests);
+    CPPUNIT_TEST(recordsThatComeWhileARouterIsOnlyProbedAreNotLost);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -283,6 +284,25 @@
         }));
     }
 
+/// Bench: tsetseg-swarmline-grown scale-1. A router that follows another one probes the first again;
+    /// what the first learned meanwhile was taken for known.
+    void recordsThatComeWhileARouterIsOnlyProbedAreNotLost()
+    {
+        startRouters();
+        reader().feed.put({"keyed.t", "a", "1", 0});
+        reader().link().publish();
+        CPPUNIT_ASSERT(runRouters([&] { return allHave(1); }));
+        for (int round = 1; round < 6; ++round) {
+            // The first router's reads fail, so the others leave it, and work again, so they probe it.
+            m_failing = &reader();
+            CPPUNIT_ASSERT(runRouters([&] { return !m_routers[0]->link().isFresh(now()) || m_routers[0]->link().readsStore()
+                                                || m_routers[2]->link().readsStore(); }));
+            reader().feed.put({"keyed.t", "a", std::to_string(round), static_cast<std::uint64_t>(round)});
+            m_failing = nullptr;
+            CPPUNIT_ASSERT(runRouters([&] { return allHave(static_cast<std::uint64_t>(round) + 1); }));
+        }
+    }
+
 private:
     std::unique_ptr<TopicFollower> followStore()
     {
@@ -322,7 +342,7 @@
                 next = now() + milliseconds(20);
                 for (const auto &router : m_routers) {
                     if (router->link().readsStore())
-                        router->link().setStoreWorks(true);
+                        router->link().setStoreWorks(router.get() != m_failing);
                     router->link().tick(now());
                 }
             }
@@ -348,6 +368,7 @@
     HttpCaller m_caller{m_loop, {milliseconds(500), milliseconds(1500), 16384}, now};
     std::vector<std::unique_ptr<LinkedRouter>> m_routers;
     std::vector<ServerRequests> m_own;
+    const LinkedRouter *m_failing = nullptr; ///< Its reads of the store fail.
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreTest);
