--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -9,9 +9,10 @@
 
 namespace {
 
-constexpr std::size_t kMaxHeldBytes = 256 * 1024; ///< Larger answers are relayed as they come.
+constexpr std::size_t kMaxHeldBytes =
+    std::size_t{256} * 1024; ///< Larger answers are relayed as they come.
 constexpr std::size_t kMaxCallerBacklog =
-    128 * 1024; ///< Beyond it, the backend server is made to wait.
+    std::size_t{128} * 1024; ///< Beyond it, the backend server is made to wait.
 /// After the time limit, the server's own answer may still be on its way.
 constexpr Duration kAnswerGrace = milliseconds(40);
 /// Before the caller's own limit: an answer after it reaches nobody.
--- a/src/gateway/fleetlink.cpp
+++ b/src/gateway/fleetlink.cpp
@@ -201,7 +201,7 @@
                 ask({{}, ZoneId(), seed, 0}, Purpose::Seed, now);
         }
     }
-    if (isNew && !isSeed && (isAlone || !m_followed)) {
+    if (isNew && m_settings.isFirstStart && !isSeed && (isAlone || !m_followed)) {
         const auto first = m_directory.first(m_settings.self.zone, true, now);
         if (first && !isAlone)
             ask(*first, Purpose::Probe, now);
--- a/src/gateway/fleetlink.h
+++ b/src/gateway/fleetlink.h
@@ -38,6 +38,9 @@
     KnownRouter self;
     std::vector<std::string> seeds; ///< Addresses to ask while no other router is known.
     std::uint64_t born = 0;         ///< Unix milliseconds of this start.
+    /// The whole fleet starts, without callers yet: routers look for each other before they read
+    /// the store. Else a router reads it at once, since callers wait.
+    bool isFirstStart = true;
 };
 
 class FleetLink : public RequestHandler
@@ -114,8 +117,8 @@
     /// What another router told.
     struct Known
     {
-        Position all;     ///< Of records of all topics.
-        Position routers; ///< Of records of routers.
+        Position all;         ///< Of records of all topics.
+        Position routers;     ///< Of records of routers.
         bool isAsked = false; ///< An answer is outstanding.
     };
 
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -6,10 +6,29 @@
 namespace {
 
 constexpr double kMicrosecondsPerSecond = 1e6;
+constexpr double kMillisecondsPerSecond = 1e3;
 
-std::string braced(const std::string &labels)
+void appendLine(std::string &out, const std::string &name, const std::string &labels,
+                const std::string &value)
 {
-    return labels.empty() ? std::string() : "{" + labels + "}";
+    out += name;
+    if (!labels.empty()) {
+        out += '{';
+        out += labels;
+        out += '}';
+    }
+    out += ' ';
+    out += value;
+    out += '\n';
+}
+
+void appendType(std::string &out, const std::string &name, const char *type)
+{
+    out += "# TYPE ";
+    out += name;
+    out += ' ';
+    out += type;
+    out += '\n';
 }
 
 } // namespace
@@ -28,34 +47,38 @@
                              const std::string &labels) const
 {
     const std::string before = labels.empty() ? "" : labels + ",";
+    const auto bucketLine = [&](const std::string &bound, std::uint64_t count) {
+        appendLine(out, name + "_bucket", before + "le=\"" + bound + "\"", std::to_string(count));
+    };
     std::uint64_t cumulated = 0;
     for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
         cumulated += m_counts[bucket];
-        const double bound = static_cast<double>(1ULL << bucket) / 1000;
-        out += name + "_bucket{" + before + "le=\"" + std::to_string(bound) + "\"} "
-            + std::to_string(cumulated) + '\n';
+        bucketLine(std::to_string(static_cast<double>(1ULL << bucket) / kMillisecondsPerSecond),
+                   cumulated);
     }
-    out += name + "_bucket{" + before + "le=\"+Inf\"} " + std::to_string(m_count) + '\n';
-    out += name + "_sum" + braced(labels) + ' '
-        + std::to_string(static_cast<double>(m_sum.count()) / kMicrosecondsPerSecond) + '\n';
-    out += name + "_count" + braced(labels) + ' ' + std::to_string(m_count) + '\n';
+    bucketLine("+Inf", m_count);
+    const double seconds = static_cast<double>(m_sum.count()) / kMicrosecondsPerSecond;
+    appendLine(out, name + "_sum", labels, std::to_string(seconds));
+    appendLine(out, name + "_count", labels, std::to_string(m_count));
 }
 
 std::string Metrics::text() const
 {
     std::string out;
     for (const auto &[name, values] : m_counters) {
-        out += "# TYPE " + name + " counter\n";
+        appendType(out, name, "counter");
         for (const auto &[labels, value] : values)
-            out += name + braced(labels) + ' ' + std::to_string(value) + '\n';
+            appendLine(out, name, labels, std::to_string(value));
     }
     for (const auto &[name, values] : m_histograms) {
-        out += "# TYPE " + name + " histogram\n";
+        appendType(out, name, "histogram");
         for (const auto &[labels, histogram] : values)
             histogram.print(out, name, labels);
     }
-    for (const auto &[name, value] : m_gauges)
-        out += "# TYPE " + name + " gauge\n" + name + ' ' + std::to_string(value) + '\n';
+    for (const auto &[name, value] : m_gauges) {
+        appendType(out, name, "gauge");
+        appendLine(out, name, {}, std::to_string(value));
+    }
     return out;
 }
 
--- a/src/traffic/httpcall.cpp
+++ b/src/traffic/httpcall.cpp
@@ -6,8 +6,8 @@
 namespace {
 
 constexpr Duration kIdleLimit = milliseconds(10000); // shorter than servers keep idle connections
-constexpr std::size_t kMaxAnswerBytes =
-    8U * 1024 * 1024; ///< Twice the largest message of the platform.
+constexpr std::size_t kMaxAnswerBytes = std::size_t{8}
+    << 20; ///< Twice the largest message of the platform.
 
 } // namespace
 
--- a/tests/dispatchlimitstest.cpp
+++ b/tests/dispatchlimitstest.cpp
@@ -182,12 +182,12 @@
         CPPUNIT_ASSERT(!health.isDoubtful(milliseconds(500), at(600)));
     }
 
-/// Bench: tsetseg-swarmline inc-a955. Servers that took requests and said nothing for 2 s, until
-    /// their callers left.
+    /// Bench: tsetseg-swarmline inc-a955. Servers that took requests and said nothing for 2 s,
+    /// until their callers left.
     void serverWhoseCallersGiveUpIsSetAside()
     {
         ReplicaHealth health;
-        for (int request = 0; request < 2; ++request) {
+        for (std::int64_t request = 0; request < 2; ++request) {
             health.onSent(at(3000 * request));
             health.onAbandoned(milliseconds(2000), milliseconds(40), 0, at(3000 * request + 2000));
         }
@@ -197,7 +197,7 @@
     void callersThatLeaveEarlySayNothingOfTheServer()
     {
         ReplicaHealth health;
-        for (int request = 0; request < 20; ++request) {
+        for (std::int64_t request = 0; request < 20; ++request) {
             health.onSent(at(100 * request));
             health.onAbandoned(milliseconds(50), milliseconds(40), 0, at(100 * request + 50));
         }
@@ -205,8 +205,8 @@
         CPPUNIT_ASSERT_EQUAL(0.0, health.failureShare());
     }
 
-    /// Load: a server that fails 40% of its requests beside servers that fail none; a router sends it
-    /// about one request a second.
+    /// Load: a server that fails 40% of its requests beside servers that fail none; a router sends
+    /// it about one request a second.
     void greyServerIsFoundWithinAFewRequests()
     {
         std::mt19937_64 random(5);
--- a/tests/traffic/gatewaytest.cpp
+++ b/tests/traffic/gatewaytest.cpp
@@ -436,9 +436,11 @@
               "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
               "Content-Length: 5\r\nContent-Length: 6\r\n", "Transfer-Encoding: xchunked\r\n",
               "Transfer-Encoding: chunked, identity\r\n", "Content-Length: +5\r\n",
-              "Content-Length : 5\r\n"})
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(fields, 400U,
-                                         call(head + fields + "\r\n" + hidden).head.status);
+              "Content-Length : 5\r\n"}) {
+            std::string bytes = head;
+            bytes.append(fields).append("\r\n").append(hidden);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(fields, 400U, call(bytes).head.status);
+        }
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.requestCount());
     }
 
--- a/tests/traffic/parsingtest.cpp
+++ b/tests/traffic/parsingtest.cpp
@@ -222,18 +222,20 @@
         int ends[2];
         CPPUNIT_ASSERT_EQUAL(0, ::pipe(ends));
         EventLog log(ends[1]);
-        LogLine(log, "e", TimePoint())
-            .add("text", "a \"b\"\n")
-            .add("n", std::int64_t(-3))
-            .add("d", milliseconds(15));
-        for (int line = 0; line < 3000; ++line)
-            LogLine(log, "many", TimePoint());
+        {
+            LogLine line(log, "e", TimePoint());
+            line.add("text", "a \"b\"\n").add("n", std::int64_t(-3)).add("d", milliseconds(15));
+        }
+        for (int count = 0; count < 3000; ++count)
+            const LogLine line(log, "many", TimePoint());
         log.flush();
         std::string text(4096, '\0');
         text.resize(static_cast<std::size_t>(::read(ends[0], text.data(), text.size())));
         CPPUNIT_ASSERT_EQUAL(std::string("t=0.0 event=e text=\"a \\\"b\\\" \" n=-3 d_ms=15.0"),
                              text.substr(0, text.find('\n')));
-        LogLine(log, "next", TimePoint(milliseconds(1000)));
+        {
+            const LogLine line(log, "next", TimePoint(milliseconds(1000)));
+        }
         std::string rest(1 << 20, '\0');
         ::close(ends[1]);
         std::size_t lines = 0;
