--- a/src/telemetry/eventlog.cpp
+++ b/src/telemetry/eventlog.cpp
@@ -4,21 +4,14 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <utility>
 
+#include "telemetry/numbertext.h"
+
 namespace comfrey {
 
 namespace {
 
-void appendNumber(std::string &out, std::int64_t number)
-{
-    std::array<char, 24> digits;
-    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), number).ptr;
-    out.append(digits.data(), end);
-}
-
 void appendMilliseconds(std::string &out, Duration value)
 {
     const std::int64_t tenths = value.count() / 100;
--- a/src/traffic/callerconnection.cpp
+++ b/src/traffic/callerconnection.cpp
@@ -2,11 +2,10 @@
 // caller has left.
 #include "traffic/callerconnection.h"
 
-#include <array>
-#include <charconv>
-
 #include <boost/beast/http/status.hpp>
 
+#include "telemetry/numbertext.h"
+
 namespace comfrey {
 
 namespace {
@@ -15,13 +14,6 @@
 constexpr Duration kClosingLimit =
     milliseconds(1000); ///< For the caller's own close after the last response.
 
-void appendNumber(std::string &out, std::uint64_t number, int base = 10)
-{
-    std::array<char, 24> digits;
-    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), number, base).ptr;
-    out.append(digits.data(), end);
-}
-
 void appendStatusLine(std::string &out, unsigned status)
 {
     out += "HTTP/1.1 ";
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -24,7 +24,8 @@
         ::mkdir(settings.folder.c_str(), 0755);
         comfrey::soak::Soak soak(settings);
         const auto broken = soak.run();
-        std::cout << "seed " << settings.seed << ": " << soak.summary() << '\n';
+        std::cout << "seed " << settings.seed << ": " << soak.summary()
+                  << std::endl; // A run takes a while.
         for (const std::string &line : broken)
             std::cout << "  BROKEN " << line << '\n';
         failed += broken.empty() ? 0 : 1;
