--- a/src/dispatch/replicachooser.cpp
+++ b/src/dispatch/replicachooser.cpp
@@ -101,14 +101,17 @@
     }
     Choice choice;
     choice.replica = best ? best : leastLoaded;
-    choice.reason = !best ? "all over the bound" : bestWeight == highestWeight ? "first in rank" : "first in rank under the bound";
+    choice.reason = !best             ? "all over the bound"
+        : bestWeight == highestWeight ? "first in rank"
+                                      : "first in rank under the bound";
     choice.load = choice.replica->load.estimate(now);
     choice.bound = bound;
     choice.promptSource = usualHolder(key, *choice.replica, input, now);
     return choice;
 }
 
-Choice ShortestWaitChooser::choose(const RequestFacts &, const ChoiceInput &input, TimePoint now) const
+Choice ShortestWaitChooser::choose(const RequestFacts &, const ChoiceInput &input,
+                                   TimePoint now) const
 {
     const int allowed = bestRank(input, now);
     std::vector<const ReplicaPointer *> candidates;
@@ -120,14 +123,19 @@
         return {};
     // Two at random, and the better of them: routers with the same news do not all choose the same.
     const std::size_t one = input.tieBreak % candidates.size();
-    const std::size_t step = candidates.size() > 1 ? 1 + input.tieBreak / candidates.size() % (candidates.size() - 1) : 0;
+    const std::size_t step = candidates.size() > 1
+        ? 1 + input.tieBreak / candidates.size() % (candidates.size() - 1)
+        : 0;
     const std::size_t other = (one + step) % candidates.size();
     const auto score = [&](const Replica &replica) {
-        const double wait = std::max<double>(1000, static_cast<double>(replica.health.wait().count()));
-        return wait * (1 + replica.load.estimate(now)) * (1 + kFailureWeight * replica.health.failureShare());
+        const double wait =
+            std::max<double>(1000, static_cast<double>(replica.health.wait().count()));
+        return wait * (1 + replica.load.estimate(now))
+            * (1 + kFailureWeight * replica.health.failureShare());
     };
     Choice choice;
-    choice.replica = score(**candidates[other]) < score(**candidates[one]) ? *candidates[other] : *candidates[one];
+    choice.replica = score(**candidates[other]) < score(**candidates[one]) ? *candidates[other]
+                                                                           : *candidates[one];
     choice.reason = "shorter wait of two";
     choice.load = choice.replica->load.estimate(now);
     return choice;
--- a/src/dispatch/replicahealth.cpp
+++ b/src/dispatch/replicahealth.cpp
@@ -7,9 +7,11 @@
 
 namespace {
 
-constexpr double kFailureWeight = 0.25; ///< Of one result in the smoothed share: two failures in a row tell.
+constexpr double kFailureWeight =
+    0.25; ///< Of one result in the smoothed share: two failures in a row tell.
 constexpr double kWaitWeight = 0.1; ///< Of one answer in the smoothed wait.
-constexpr double kShareOverUsual = 0.3; ///< Failures over the others' share: another server serves callers better.
+constexpr double kShareOverUsual =
+    0.3; ///< Failures over the others' share: another server serves callers better.
 constexpr Duration kFirstSetAside = milliseconds(500);
 constexpr Duration kLongestSetAside =
     milliseconds(4000); // a crashed server is back after some seconds
@@ -76,7 +78,8 @@
     endWait(now);
 }
 
-void ReplicaHealth::onAbandoned(Duration waited, Duration usualWait, double usualShare, TimePoint now)
+void ReplicaHealth::onAbandoned(Duration waited, Duration usualWait, double usualShare,
+                                TimePoint now)
 {
     if (waited > silenceLimit(usualWait)) {
         onFailure(usualShare, now);
@@ -103,8 +106,7 @@
         return true;
     if (m_setAsides > 0 && m_open > 0)
         return true; // One trial at a time until it answers well.
-    return m_silentSince != kNever
-        && now - m_silentSince > silenceLimit(usualWait);
+    return m_silentSince != kNever && now - m_silentSince > silenceLimit(usualWait);
 }
 
 } // namespace comfrey
--- a/src/dispatch/replicahealth.h
+++ b/src/dispatch/replicahealth.h
@@ -20,8 +20,8 @@
     void onFailure(double usualShare, TimePoint now);
     /// No connection could be made, or the one that was open is dead.
     void onUnreachable(TimePoint now);
-    /// The request was given up before an answer, `waited` after it was sent. After long enough a wait
-    /// the server failed it.
+    /// The request was given up before an answer, `waited` after it was sent. After long enough a
+    /// wait the server failed it.
     void onAbandoned(Duration waited, Duration usualWait, double usualShare, TimePoint now);
     /// An answer broke off after it had begun.
     void onBrokenOff(double usualShare, TimePoint now);
--- a/src/dispatch/replicaload.h
+++ b/src/dispatch/replicaload.h
@@ -40,8 +40,8 @@
     }
 
     std::uint32_t ownInFlight() const { return m_ownInFlight; }
-    /// Requests at the server: this router's own and what the others told, or the server's last report
-    /// with this router's own changes since then; without either, this router's own.
+    /// Requests at the server: this router's own and what the others told, or the server's last
+    /// report with this router's own changes since then; without either, this router's own.
     double estimate(TimePoint now) const
     {
         if (m_othersAt != TimePoint::min() && now - m_othersAt <= kToldLife)
@@ -56,7 +56,7 @@
     static constexpr Duration kReportLife =
         milliseconds(1000); // about the length of one chat on an engine
 
-    static constexpr Duration kToldLife = milliseconds(1500);   // a few exchanges between routers
+    static constexpr Duration kToldLife = milliseconds(1500); // a few exchanges between routers
 
     std::uint32_t m_slots = 1; ///< At least 1.
     std::uint32_t m_ownInFlight = 0;
--- a/src/routers/loaddigest.cpp
+++ b/src/routers/loaddigest.cpp
@@ -38,7 +38,8 @@
     return total;
 }
 
-ServerRequests LoadDigest::totalExcept(const std::string &except, const ServerRequests &own, TimePoint now) const
+ServerRequests LoadDigest::totalExcept(const std::string &except, const ServerRequests &own,
+                                       TimePoint now) const
 {
     ServerRequests total = own;
     for (const auto &[router, told] : m_routers) {
--- a/src/routers/routerdirectory.cpp
+++ b/src/routers/routerdirectory.cpp
@@ -10,8 +10,9 @@
 namespace {
 
 constexpr Duration kFirstPause = milliseconds(500);
-constexpr Duration kLongestPause = milliseconds(8000);  // a replaced router never comes back, a restarted one in seconds
-constexpr Duration kLeavingPause = milliseconds(3000);  // a restart takes longer
+constexpr Duration kLongestPause =
+    milliseconds(8000); // a replaced router never comes back, a restarted one in seconds
+constexpr Duration kLeavingPause = milliseconds(3000); // a restart takes longer
 
 } // namespace
 
@@ -38,7 +39,8 @@
     return nullptr;
 }
 
-std::optional<KnownRouter> RouterDirectory::first(const ZoneId &zone, bool selfFails, TimePoint now) const
+std::optional<KnownRouter> RouterDirectory::first(const ZoneId &zone, bool selfFails,
+                                                  TimePoint now) const
 {
     const auto found = m_zones.find(zone);
     if (found == m_zones.end())
@@ -89,7 +91,8 @@
     Entry *entry = find(name);
     if (!entry)
         return;
-    entry->askAgainAt = now + std::min(kLongestPause, kFirstPause * (1U << std::min(entry->failures, 4U)));
+    entry->askAgainAt =
+        now + std::min(kLongestPause, kFirstPause * (1U << std::min(entry->failures, 4U)));
     ++entry->failures;
 }
 
--- a/src/routers/routerdirectory.h
+++ b/src/routers/routerdirectory.h
@@ -20,7 +20,8 @@
     std::string name;
     ZoneId zone;
     std::string address; ///< "IP:port" for other routers.
-    std::uint8_t standing = 0; ///< 0 for routers whose link and processor serve others well, more for others.
+    std::uint8_t standing =
+        0; ///< 0 for routers whose link and processor serve others well, more for others.
 };
 
 class RouterDirectory
--- a/src/routers/valuedelta.cpp
+++ b/src/routers/valuedelta.cpp
@@ -1,6 +1,6 @@
-// Layout: hash of the base and of the target, 8 bytes each, then steps. A step is a copy (offset and
-// length in the base) or text (length and bytes). Numbers are 4 bytes, in the machine's order: all
-// routers run on one kind of machine.
+// Layout: hash of the base and of the target, 8 bytes each, then steps. A step is a copy (offset
+// and length in the base) or text (length and bytes). Numbers are 4 bytes, in the machine's order:
+// all routers run on one kind of machine.
 #include "routers/valuedelta.h"
 
 #include <cstdint>
@@ -149,7 +149,8 @@
             continue;
         }
         std::uint32_t length = 0;
-        if (step != kCopy || !take(delta, length) || first > base.size() || base.size() - first < length)
+        if (step != kCopy || !take(delta, length) || first > base.size()
+            || base.size() - first < length)
             return std::nullopt;
         target.append(base.substr(first, length));
     }
--- a/src/traffic/httpparser.h
+++ b/src/traffic/httpparser.h
@@ -52,7 +52,8 @@
     void on_request_impl(boost::beast::http::verb, View method, View target, int version,
                          ErrorRef) override;
     void on_response_impl(int status, View reason, int version, ErrorRef) override;
-    void on_field_impl(boost::beast::http::field, View name, View value, ErrorRef error) override;
+    void on_field_impl(boost::beast::http::field name, View fieldName, View value,
+                       ErrorRef error) override;
     void on_header_impl(ErrorRef) override { }
     void on_body_init_impl(const boost::optional<std::uint64_t> &, ErrorRef) override { }
     std::size_t on_body_impl(View bytes, ErrorRef) override;
--- a/tests/soak/routerprocess.cpp
+++ b/tests/soak/routerprocess.cpp
@@ -60,13 +60,14 @@
         ::kill(m_pid, number);
 }
 
-void RouterProcess::look()
+bool RouterProcess::hasEnded()
 {
     int status = 0;
     if (m_pid <= 0 || ::waitpid(m_pid, &status, WNOHANG) != m_pid)
-        return;
+        return false;
     m_pid = 0;
     m_lastEnd = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    return true;
 }
 
 } // namespace comfrey::soak
--- a/tests/soak/routerprocess.h
+++ b/tests/soak/routerprocess.h
@@ -20,8 +20,8 @@
 
     void start(bool isFirstStart);
     void signal(int number);
-    /// Sees whether the process has ended.
-    void look();
+    /// True if the process has ended since the last look.
+    bool hasEnded();
 
     bool isRunning() const { return m_pid > 0; }
     /// Of the last end: the exit code, or minus the signal.
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -247,9 +247,7 @@
 void Soak::look()
 {
     for (const auto &router : m_routers) {
-        const bool wasRunning = router->isRunning();
-        router->look();
-        if (!wasRunning || router->isRunning())
+        if (!router->hasEnded())
             continue;
         if (router->lastEnd() != (router->isStopping ? 0 : -SIGKILL))
             broken(router->name()
@@ -338,7 +336,7 @@
         later(milliseconds(1700), [this, caller, newest, name = router->name()] {
             const auto response = caller->takeResponse();
             if (response && response->head.status == 404)
-                broken(name + " does not know " + newest + " after the limit");
+                broken(std::string(name).append(" does not know ").append(newest));
         });
     }
 }
