HTTP calls: a call that is under way when the loop ends is freed

Cause: LeakSanitizer: a call held itself, so calls under way at the end of the loop leaked. Change: the timer's handler keeps the call alive.

--- a/src/traffic/httpcall.cpp
+++ b/src/traffic/httpcall.cpp
@@ -23,7 +23,7 @@
 
     void start()
     {
-        m_self = shared_from_this();
+        m_isRunning = true;
         armTimer(m_call.timeout);
         std::string head = m_call.method + ' ' + m_call.target + " HTTP/1.1\r\n";
         std::vector<HttpField> fields = {{"Host", m_server}};
@@ -75,7 +75,7 @@
 
     void giveUp(const char *problem)
     {
-        if (!m_self)
+        if (!m_isRunning)
             return;
         if (m_connection)
             std::exchange(m_connection, nullptr)->drop();
@@ -85,7 +85,8 @@
 
     void end()
     {
-        const auto self = std::exchange(m_self, nullptr);
+        const auto self = shared_from_this();
+        m_isRunning = false;
         m_timer.cancel();
         m_handler(std::move(m_answer));
     }
@@ -97,7 +98,7 @@
     std::string m_server;
     BackendPool::Connection m_connection; ///< Null once the answer is whole.
     CallAnswer m_answer;
-    std::shared_ptr<Running> m_self; ///< Set while the call is under way.
+    bool m_isRunning = false; ///< Meanwhile the timer's handler keeps the call alive.
 };
 
 HttpCaller::HttpCaller(boost::asio::io_context &loop, const BackendConnectionLimits &limits,
