--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -66,7 +66,6 @@
     });
     input.usualWait = usualWait(serviceName);
     input.tieBreak = m_random();
-    input.ownZone = m_settings.zone;
     if (request.prompt.empty())
         return m_waitChooser.choose(request, input, now);
     return m_promptChooser.choose(request, input, now);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -48,7 +48,6 @@
 
 struct DispatcherSettings
 {
-    ZoneId zone;
     RetryBudgetLimits retries;
     Duration lapseGrace = milliseconds(1700); ///< See ReplicaTable.
     std::uint64_t seed = 0;                   ///< Of the choices among equals.
--- a/src/dispatch/replicachooser.h
+++ b/src/dispatch/replicachooser.h
@@ -19,7 +19,6 @@
     std::vector<std::shared_ptr<Replica>> alive; ///< All that run, also those that are leaving.
     Duration usualWait;                          ///< Of the service, to the first bytes.
     std::uint64_t tieBreak = 0;                  ///< A random number of this choice.
-    ZoneId ownZone;
 };
 
 struct Choice
--- a/tests/replicachoosertest.cpp
+++ b/tests/replicachoosertest.cpp
@@ -57,8 +57,8 @@
 public:
     void routersWithEqualListsChooseAlike()
     {
-        ChoiceInput one{replicas(18, 32), {}, {}, 1, {}};
-        ChoiceInput other{replicas(18, 32), {}, {}, 2, {}};
+        ChoiceInput one{replicas(18, 32), {}, {}, 1};
+        ChoiceInput other{replicas(18, 32), {}, {}, 2};
         std::set<std::string> used;
         for (std::uint64_t part = 100; part < 200; ++part) {
             const auto first = m_prompts.choose(chat(part, 1), one, at(0)).replica->record.id;
@@ -71,7 +71,7 @@
 
     void overloadedEngineGivesWayToTheNextInRankWithItsPrompt()
     {
-        ChoiceInput input{replicas(6, 32), {}, {}, 1, {}};
+        ChoiceInput input{replicas(6, 32), {}, {}, 1};
         input.alive = input.replicas;
         const auto usual = m_prompts.choose(chat(5, 1), input, at(0)).replica;
         usual->load.setOthers(20, at(0));
@@ -82,7 +82,7 @@
 
     void newEngineCopiesPromptsFromTheOneThatHadThem()
     {
-        ChoiceInput input{replicas(6, 32), {}, {}, 1, {}};
+        ChoiceInput input{replicas(6, 32), {}, {}, 1};
         input.alive = input.replicas;
         for (std::uint64_t part = 0; part < 50; ++part) {
             const auto before = m_prompts.choose(chat(part, 1), input, at(0)).replica;
@@ -101,7 +101,7 @@
 
     void leavingEngineIsStillACopySource()
     {
-        ChoiceInput input{replicas(6, 32), {}, {}, 1, {}};
+        ChoiceInput input{replicas(6, 32), {}, {}, 1};
         input.alive = input.replicas;
         const auto leaving = m_prompts.choose(chat(5, 1), input, at(0)).replica;
         std::erase(input.replicas, leaving);
@@ -112,7 +112,7 @@
 
     void unreachableEngineIsNeitherChosenNorCopiedFrom()
     {
-        ChoiceInput input{replicas(6, 32), {}, {}, 1, {}};
+        ChoiceInput input{replicas(6, 32), {}, {}, 1};
         input.alive = input.replicas;
         const auto dead = m_prompts.choose(chat(5, 1), input, at(0)).replica;
         dead->health.onSent(at(0));
@@ -134,7 +134,7 @@
     /// Load: three servers of which one answers four times as slowly, as a neighbour slows it.
     void slowServerGetsLessOfAPlainService()
     {
-        ChoiceInput input{replicas(3, 6), {}, {}, 1, {}};
+        ChoiceInput input{replicas(3, 6), {}, {}, 1};
         const Duration waits[] = {milliseconds(30), milliseconds(120), milliseconds(30)};
         std::mt19937_64 random(3);
         std::map<std::string, int> counts;
@@ -184,7 +184,7 @@
                 continue;
             const std::size_t router = random() % routers;
             const std::uint64_t part = random() % 3 == 0 ? 7 : 100 + random() % 79;
-            ChoiceInput input{views[router], views[router], {}, random(), {}};
+            ChoiceInput input{views[router], views[router], {}, random()};
             const auto chosen = m_prompts.choose(chat(part, random()), input, at(ms)).replica;
             const auto engine =
                 static_cast<std::size_t>(std::stoi(chosen->record.id.value().substr(1)));
