--- a/include/comfrey/actions.h
+++ b/include/comfrey/actions.h
@@ -60,8 +60,8 @@
     OutcomeUnknown, ///< 504: it may have run.
 };
 
-/// Ends a request. For Outcome::Answered with an empty body, the traffic threads already have the
-/// answer of `attempt` and finish it; otherwise the answer is made of the fields here.
+/// Ends a request. For Outcome::Answered with an empty body, the traffic loop already has the
+/// answer of `attempt` and finishes it; otherwise the answer is made of the fields here.
 struct AnswerCaller
 {
     RequestId request;
--- a/include/comfrey/events.h
+++ b/include/comfrey/events.h
@@ -18,7 +18,7 @@
 
 enum class RequestKind : std::uint8_t { Chat, ServiceCall };
 
-/// A caller's request as far as decisions need it; the body stays with the traffic threads.
+/// A caller's request as far as decisions need it; the body stays with the traffic loop.
 struct CallerRequest
 {
     RequestKind kind = RequestKind::Chat;
@@ -61,7 +61,7 @@
     Tokens cachedPromptTokens = 0; ///< As far as the engine told; 0 before.
 };
 
-/// How one sending of a request ended, as the traffic thread saw it.
+/// How one sending of a request ended, as the traffic loop saw it.
 enum class AttemptEnd : std::uint8_t {
     Completed,          ///< The whole answer arrived and carries the request's id.
     NotConnected,       ///< No byte of the request left this process.
--- a/src/daemon/actiondispatcher.cpp
+++ b/src/daemon/actiondispatcher.cpp
@@ -21,8 +21,9 @@
 
 } // namespace
 
-ActionDispatcher::ActionDispatcher(ExchangeTable &exchanges, std::function<void()> onStopped)
-    : m_exchanges(exchanges), m_onStopped(std::move(onStopped))
+ActionDispatcher::ActionDispatcher(TrafficLoop &loop, ExchangeTable &exchanges,
+                                   std::function<void()> onStopped)
+    : m_loop(loop), m_exchanges(exchanges), m_onStopped(std::move(onStopped))
 { }
 
 void ActionDispatcher::connect(BackendClient &backends, PlatformClient &platform, PeerLink &peers)
@@ -37,7 +38,7 @@
     std::visit(Overloaded{
                    [this](SendToBackend &order) { m_backends->send(order); },
                    [this](CancelAttempt &order) { m_backends->cancel(order.attempt); },
-                   [this](AnswerCaller &order) { answer(std::move(order)); },
+                   [this](AnswerCaller &order) { answer(order); },
                    [this](ProbeBackend &order) { m_backends->probe(order); },
                    [this](ReadInstanceList &) { m_platform->readInstances(); },
                    [this](ReadLog &order) { m_platform->read(order); },
@@ -51,11 +52,12 @@
                action);
 }
 
-void ActionDispatcher::answer(AnswerCaller action)
+void ActionDispatcher::answer(const AnswerCaller &action)
 {
-    const std::shared_ptr<Exchange> exchange = m_exchanges.find(action.request);
-    if (exchange != nullptr)
-        exchange->end(std::move(action));
+    m_loop.post([this, action] {
+        if (const std::shared_ptr<Exchange> exchange = m_exchanges.find(action.request))
+            exchange->end(action);
+    });
 }
 
 void ActionDispatcher::writeLogLine(const WriteLogLine &line)
--- a/src/daemon/actiondispatcher.h
+++ b/src/daemon/actiondispatcher.h
@@ -15,7 +15,7 @@
 {
 public:
     /// `onStopped` is called once, when the router has nothing in flight any more.
-    ActionDispatcher(ExchangeTable &exchanges, std::function<void()> onStopped);
+    ActionDispatcher(TrafficLoop &loop, ExchangeTable &exchanges, std::function<void()> onStopped);
 
     /// Must be called before the first action.
     void connect(BackendClient &backends, PlatformClient &platform, PeerLink &peers);
@@ -23,9 +23,10 @@
     void run(Action action) override;
 
 private:
-    void answer(AnswerCaller action);
+    void answer(const AnswerCaller &action);
     static void writeLogLine(const WriteLogLine &line);
 
+    TrafficLoop &m_loop;
     ExchangeTable &m_exchanges;
     std::function<void()> m_onStopped;
     BackendClient *m_backends = nullptr;  ///< Set before the control thread starts.
--- a/src/daemon/backendclient.cpp
+++ b/src/daemon/backendclient.cpp
@@ -1,33 +1,24 @@
 // Sends requests, probes and orders to back ends over HTTP.
 #include "daemon/backendclient.h"
 
+#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
 #include "daemon/chatsender.h"
 #include "daemon/servicesender.h"
+#include "traffic/callerlistener.h"
 
 namespace comfrey {
 
 namespace {
 
-constexpr std::size_t kControlThreads = 16;
-constexpr std::chrono::milliseconds kProbeTimeout{1000};
-constexpr std::chrono::milliseconds kConnectTimeout{500};
+constexpr Duration kProbeTimeout = milliseconds(1000);  // two probe intervals
+constexpr Duration kConnectTimeout = milliseconds(500); // several times the way between regions
+constexpr Duration kSilentLimit = milliseconds(5000);   // of a peer that acknowledges nothing
+constexpr Duration kIdleLimit = milliseconds(5000);     // engines close idle connections later
+constexpr std::uint32_t kMaxHeaderBytes = 16384;
 
-HttpClientOptions trafficOptions()
-{
-    HttpClientOptions options;
-    options.connectTimeout = kConnectTimeout;
-    return options;
-}
-
-HttpClientOptions probeOptions()
-{
-    HttpClientOptions options;
-    options.connectTimeout = kConnectTimeout;
-    options.readTimeout = kProbeTimeout;
-    return options;
-}
+constexpr BackendConnectionLimits kLimits{kConnectTimeout, kSilentLimit, kMaxHeaderBytes};
 
 std::vector<CacheEvent> cacheEventsOf(const nlohmann::json &body)
 {
@@ -70,6 +61,20 @@
     return report;
 }
 
+std::optional<LoadReport> readLoadReport(const BackendId &backend, const std::string &text)
+{
+    const nlohmann::json body = nlohmann::json::parse(text, nullptr, false);
+    if (!body.is_object())
+        return std::nullopt;
+    try {
+        return loadReportOf(backend, body);
+    } catch (const nlohmann::json::exception &error) {
+        LOG(WARNING) << "event=load-report-unreadable backend=" << backend.value() << " reason=\""
+                     << error.what() << '"';
+        return std::nullopt;
+    }
+}
+
 const char *textOf(OrderKind kind)
 {
     switch (kind) {
@@ -87,132 +92,123 @@
     return "";
 }
 
-OrderResult orderResultOf(const httplib::Result &result)
+OrderResult orderResultOf(const CallAnswer &answer)
 {
-    if (!result)
-        return result.error() == httplib::Error::Connection ? OrderResult::Failed
-                                                            : OrderResult::Lost;
-    if (result->status == 200)
+    if (answer.status == 0)
+        return answer.wasSent ? OrderResult::Lost : OrderResult::Failed;
+    if (answer.status == 200)
         return OrderResult::Done;
-    return result->status == 409 ? OrderResult::RefusedStale : OrderResult::Failed;
+    return answer.status == 409 ? OrderResult::RefusedStale : OrderResult::Failed;
 }
 
 } // namespace
 
-void RunningAttempt::cancel()
-{
-    const std::lock_guard lock(m_mutex);
-    m_cancelled = true;
-    if (m_client != nullptr)
-        m_client->stop();
-}
-
-void RunningAttempt::attach(httplib::Client *client)
+BackendClient::BackendClient(TrafficLoop &loop, ExchangeTable &exchanges, EventSink &sink,
+                             const ProcessClock &clock)
+    : m_loop(loop), m_exchanges(exchanges), m_sink(sink),
+      m_pool(loop.context(), kLimits, kIdleLimit), m_parts{loop.context(), m_pool, kLimits, sink,
+                                                           clock},
+      m_caller(loop.context(), kLimits, [&clock] { return clock.now(); })
 {
-    const std::lock_guard lock(m_mutex);
-    m_client = client;
+    loop.addSweep([this, &clock] {
+        m_pool.sweep(clock.now());
+        m_caller.sweep(clock.now());
+    });
 }
 
-void RunningAttempt::detach()
-{
-    const std::lock_guard lock(m_mutex);
-    m_client = nullptr;
-}
-
-BackendClient::BackendClient(ExchangeTable &exchanges, EventSink &sink, const ProcessClock &clock,
-                             std::size_t maxThreads)
-    : m_exchanges(exchanges), m_sink(sink), m_clock(clock), m_clients(trafficOptions()),
-      m_probeClients(probeOptions()), m_traffic(maxThreads, m_busyTraffic),
-      m_control(kControlThreads, m_busyControl)
-{ }
-
-BackendClient::~BackendClient()
+void BackendClient::send(const SendToBackend &order)
 {
-    {
-        const std::lock_guard lock(m_mutex);
-        for (const auto &[attempt, running] : m_running)
-            running->cancel();
-    }
-    m_traffic.shutdown();
-    m_control.shutdown();
+    m_loop.post([this, order] { startSending(order); });
 }
 
-void BackendClient::send(const SendToBackend &order)
+void BackendClient::startSending(const SendToBackend &order)
 {
-    auto running = std::make_shared<RunningAttempt>();
-    {
-        const std::lock_guard lock(m_mutex);
-        m_running[order.attempt] = running;
+    const std::shared_ptr<Exchange> exchange = m_exchanges.find(order.request);
+    if (!exchange) {
+        AttemptEnded ended;
+        ended.attempt = order.attempt;
+        ended.request = order.request;
+        ended.how = AttemptEnd::NotConnected;
+        m_sink.post(std::move(ended));
+        return;
     }
-    m_traffic.enqueue([this, order, running] { runAttempt(order, running); });
+    std::shared_ptr<BackendSender> sender;
+    if (exchange->detail().kind == RequestKind::Chat)
+        sender = std::make_shared<ChatSender>(m_parts, order, exchange);
+    else
+        sender = std::make_shared<ServiceSender>(m_parts, order, exchange);
+    m_running[order.attempt] = sender;
+    sender->start([this](AttemptEnded ended) {
+        m_running.erase(ended.attempt);
+        m_sink.post(std::move(ended));
+    });
 }
 
 void BackendClient::cancel(AttemptId attempt)
 {
-    std::shared_ptr<RunningAttempt> running;
-    {
-        const std::lock_guard lock(m_mutex);
+    m_loop.post([this, attempt] {
         const auto found = m_running.find(attempt);
         if (found == m_running.end())
             return;
-        running = found->second;
-    }
-    running->cancel();
-}
-
-void BackendClient::runAttempt(const SendToBackend &order,
-                               const std::shared_ptr<RunningAttempt> &running)
-{
-    AttemptEnded ended;
-    ended.attempt = order.attempt;
-    ended.request = order.request;
-    ended.how = AttemptEnd::NotConnected;
-    const std::shared_ptr<Exchange> exchange = m_exchanges.find(order.request);
-    if (exchange != nullptr && !running->isCancelled()) {
-        if (exchange->detail().kind == RequestKind::Chat)
-            ended = ChatSender(order, *exchange, *running, m_clients, m_sink).run();
-        else
-            ended = ServiceSender(order, *exchange, *running, m_clients).run();
-        exchange->release(order.attempt);
-    }
-    {
-        const std::lock_guard lock(m_mutex);
-        m_running.erase(order.attempt);
-    }
-    m_sink.post(std::move(ended));
+        const std::shared_ptr<BackendSender> sender = found->second;
+        sender->cancel();
+    });
 }
 
 void BackendClient::probe(const ProbeBackend &order)
 {
-    m_control.enqueue([this, order] { runProbe(order); });
+    m_loop.post([this, order] { startProbe(order); });
 }
 
-void BackendClient::runProbe(const ProbeBackend &order)
+void BackendClient::startProbe(const ProbeBackend &order)
 {
-    std::unique_ptr<httplib::Client> client = m_probeClients.take(order.address);
-    const httplib::Result result = client->Get("/load");
-    if (!result || result->status != 200)
-        return m_sink.post(ProbeFailed{order.backend});
-    const nlohmann::json body = nlohmann::json::parse(result->body, nullptr, false);
-    m_probeClients.giveBack(order.address, std::move(client));
-    if (!body.is_object())
-        return m_sink.post(ProbeFailed{order.backend});
-    m_sink.post(ProbeAnswered{loadReportOf(order.backend, body)});
+    const auto endpoint = parseEndpoint(order.address.value());
+    if (!endpoint) {
+        LOG(WARNING) << "event=probe-impossible backend=" << order.backend.value() << " reason=\""
+                     << endpoint.error().text << '"';
+        m_sink.post(ProbeFailed{order.backend});
+        return;
+    }
+    HttpCaller::Call call;
+    call.to = *endpoint;
+    call.target = "/load";
+    call.timeout = kProbeTimeout;
+    m_caller.start(std::move(call), [this, backend = order.backend](const CallAnswer &answer) {
+        if (auto report =
+                answer.status == 200 ? readLoadReport(backend, answer.body) : std::nullopt)
+            m_sink.post(ProbeAnswered{std::move(*report)});
+        else
+            m_sink.post(ProbeFailed{backend});
+    });
 }
 
 void BackendClient::give(const GiveOrder &order)
 {
-    m_control.enqueue([this, order] { runOrder(order); });
+    m_loop.post([this, order] { startOrder(order); });
 }
 
-void BackendClient::runOrder(const GiveOrder &order)
+void BackendClient::startOrder(const GiveOrder &order)
 {
+    const auto endpoint = parseEndpoint(order.address.value());
+    if (!endpoint) {
+        LOG(WARNING) << "event=order-impossible backend=" << order.backend.value() << " reason=\""
+                     << endpoint.error().text << '"';
+        m_sink.post(OrderAnswered{order.order, order.backend, OrderResult::Failed});
+        return;
+    }
     const nlohmann::json body = {{"fencing", order.fencing.value()},
                                  {"kind", textOf(order.kind)},
                                  {"subject", order.subject}};
-    const auto client = makeHttpClient(order.address, probeOptions());
-    const httplib::Result result = client->Post("/orders", body.dump(), "application/json");
-    m_sink.post(OrderAnswered{order.order, order.backend, orderResultOf(result)});
+    HttpCaller::Call call;
+    call.to = *endpoint;
+    call.method = "POST";
+    call.target = "/orders";
+    call.contentType = "application/json";
+    call.body = body.dump();
+    call.timeout = kProbeTimeout;
+    m_caller.start(std::move(call), [this, order](const CallAnswer &answer) {
+        m_sink.post(OrderAnswered{order.order, order.backend, orderResultOf(answer)});
+    });
 }
 
 } // namespace comfrey
--- a/src/daemon/calleranswer.cpp
+++ b/src/daemon/calleranswer.cpp
@@ -10,7 +10,7 @@
 struct ErrorForm
 {
     CallerError error;
-    int status;
+    unsigned status;
     const char *code;
 };
 
@@ -44,7 +44,7 @@
     return kErrorForms[0];
 }
 
-const char *typeOf(int status)
+const char *typeOf(unsigned status)
 {
     return status < 500 ? "invalid_request_error" : "server_error";
 }
@@ -91,7 +91,7 @@
 
 } // namespace
 
-int statusOf(CallerError error)
+unsigned statusOf(CallerError error)
 {
     return formOf(error).status;
 }
@@ -114,18 +114,29 @@
     return "unknown";
 }
 
-void answerError(httplib::Response &response, const RequestId &request, const AnswerCaller &answer)
+std::vector<HttpField> outcomeFields(const RequestId &request, Outcome outcome)
 {
-    response.status = statusOf(answer.error);
-    if (!request.isEmpty())
-        response.set_header("X-Request-Id", request.value());
-    response.set_header("X-Comfrey-Outcome", textOf(answer.outcome));
+    return {{"X-Request-Id", request.value()}, {"X-Comfrey-Outcome", textOf(outcome)}};
+}
+
+CallerResponse jsonResponse(unsigned status, const std::string &json)
+{
+    return {status, {{"Content-Type", "application/json"}}, json};
+}
+
+CallerResponse errorResponse(const RequestId &request, const AnswerCaller &answer)
+{
+    CallerResponse response = jsonResponse(
+        statusOf(answer.error),
+        errorBody(answer).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    for (HttpField &field : outcomeFields(request, answer.outcome))
+        response.fields.push_back(std::move(field));
     if (answer.retryAfter) {
-        response.set_header("Retry-After", retryAfterSeconds(*answer.retryAfter));
+        response.fields.push_back({"Retry-After", retryAfterSeconds(*answer.retryAfter)});
         const auto delay = std::chrono::ceil<std::chrono::milliseconds>(*answer.retryAfter);
-        response.set_header("X-Retry-After-Ms", std::to_string(delay.count()));
+        response.fields.push_back({"X-Retry-After-Ms", std::to_string(delay.count())});
     }
-    response.set_content(errorBody(answer).dump(), "application/json");
+    return response;
 }
 
 std::string errorEvent(const RequestId &request, const AnswerCaller &answer)
--- a/src/daemon/calleranswer.h
+++ b/src/daemon/calleranswer.h
@@ -2,22 +2,32 @@
 #pragma once
 
 #include <string>
-
-#include <httplib.h>
+#include <vector>
 
 #include "comfrey/actions.h"
 #include "daemon/exchange.h"
+#include "traffic/httphead.h"
 
 namespace comfrey {
 
+/// A whole response to a caller.
+struct CallerResponse
+{
+    unsigned status = 200;
+    std::vector<HttpField> fields;
+    std::string body;
+};
+
 /// HTTP status of an error.
-int statusOf(CallerError error);
+unsigned statusOf(CallerError error);
 /// Stable code of an error in the answer's body.
 const char *codeOf(CallerError error);
 const char *textOf(Outcome outcome);
 
-/// Answers with an error. `request` may be empty if the request never got an id.
-void answerError(httplib::Response &response, const RequestId &request, const AnswerCaller &answer);
+/// The fields that every response about a request carries.
+std::vector<HttpField> outcomeFields(const RequestId &request, Outcome outcome);
+CallerResponse jsonResponse(unsigned status, const std::string &json);
+CallerResponse errorResponse(const RequestId &request, const AnswerCaller &answer);
 
 /// The error as the last event of a stream that began well.
 std::string errorEvent(const RequestId &request, const AnswerCaller &answer);
--- a/src/daemon/callerrequest.cpp
+++ b/src/daemon/callerrequest.cpp
@@ -34,9 +34,9 @@
     return Fingerprint(hashOf(content, hashOf(detail.apiKey.value())));
 }
 
-std::optional<Duration> callerTimeoutOf(const httplib::Request &request)
+std::optional<Duration> callerTimeoutOf(const HttpHead &head)
 {
-    const std::string text = request.get_header_value("X-Timeout-Ms");
+    const std::string_view text = head.valueOf("X-Timeout-Ms");
     std::int64_t value = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
     if (parsed.ec != std::errc() || value <= 0)
@@ -88,9 +88,9 @@
     return static_cast<Tokens>(value);
 }
 
-ChatId chatOf(const httplib::Request &request, const Prompt &prompt)
+ChatId chatOf(const HttpHead &head, const Prompt &prompt)
 {
-    const std::string named = request.get_header_value("X-Chat-Id");
+    const std::string named(head.valueOf("X-Chat-Id"));
     if (!named.empty())
         return ChatId(named);
     // A chat without an id is recognised by how it began.
@@ -104,17 +104,17 @@
 
 } // namespace
 
-ApiKeyHash apiKeyOf(const httplib::Request &request)
+ApiKeyHash apiKeyOf(const HttpHead &head)
 {
-    const std::string header = request.get_header_value("Authorization");
+    const std::string_view header = head.valueOf("Authorization");
     if (header.compare(0, kBearer.size(), kBearer) != 0 || header.size() == kBearer.size())
         return {};
-    return ApiKeyHash(sha256Hex(std::string_view(header).substr(kBearer.size())));
+    return ApiKeyHash(sha256Hex(header.substr(kBearer.size())));
 }
 
-tl::expected<ParsedRequest, RequestFault> parseChat(const httplib::Request &request)
+tl::expected<ParsedRequest, RequestFault> parseChat(const HttpHead &head, std::string_view text)
 {
-    nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
+    nlohmann::json body = nlohmann::json::parse(text, nullptr, false);
     if (!body.is_object())
         return malformed("the body is not a JSON object");
     const auto model = body.find("model");
@@ -129,19 +129,19 @@
     const auto maxTokens = maxTokensOf(body);
     if (!maxTokens)
         return tl::make_unexpected(maxTokens.error());
-    if (request.get_header_value("X-Chat-Id").size() > kMaxNameBytes)
+    if (head.valueOf("X-Chat-Id").size() > kMaxNameBytes)
         return malformed("X-Chat-Id is over " + std::to_string(kMaxNameBytes) + " bytes");
 
     ParsedRequest parsed;
     CallerRequest &detail = parsed.detail;
     detail.kind = RequestKind::Chat;
-    detail.apiKey = apiKeyOf(request);
-    detail.bodyBytes = static_cast<std::uint32_t>(request.body.size());
+    detail.apiKey = apiKeyOf(head);
+    detail.bodyBytes = static_cast<std::uint32_t>(text.size());
     detail.fingerprint = fingerprintOf(detail, prompt->text);
-    detail.callerTimeout = callerTimeoutOf(request);
+    detail.callerTimeout = callerTimeoutOf(head);
     detail.model = ModelId(model->get<std::string>());
     detail.adapter = AdapterId(body.value("adapter", ""));
-    detail.chat = chatOf(request, *prompt);
+    detail.chat = chatOf(head, *prompt);
     detail.sharedPrefix = PrefixHash(prompt->system.empty() ? 0 : hashOf(prompt->system));
     detail.promptTokens = static_cast<Tokens>(prompt->text.size() / kBytesPerToken);
     detail.maxTokens = *maxTokens;
@@ -152,33 +152,29 @@
     return parsed;
 }
 
-tl::expected<ParsedRequest, RequestFault> parseServiceCall(const httplib::Request &request)
+tl::expected<ParsedRequest, RequestFault> parseServiceCall(const HttpHead &head, std::string body)
 {
-    const std::string rest = request.path.substr(kServicePrefix.size());
-    const std::size_t slash = rest.find('/');
-    const std::string name = rest.substr(0, slash);
+    const std::string target = head.target.substr(kServicePrefix.size());
+    const std::string name = target.substr(0, target.find_first_of("/?"));
     if (name.empty())
         return malformed("the path names no service");
-    if (request.get_header_value("Idempotency-Key").size() > kMaxNameBytes)
+    if (head.valueOf("Idempotency-Key").size() > kMaxNameBytes)
         return malformed("Idempotency-Key is over " + std::to_string(kMaxNameBytes) + " bytes");
-    std::string target = request.target;
-    const std::size_t start = target.find(kServicePrefix);
-    target = start == std::string::npos ? rest : target.substr(start + kServicePrefix.size());
     const std::size_t tail = target.find('/');
 
     ParsedRequest parsed;
     CallerRequest &detail = parsed.detail;
     detail.kind = RequestKind::ServiceCall;
-    detail.apiKey = apiKeyOf(request);
-    detail.bodyBytes = static_cast<std::uint32_t>(request.body.size());
-    detail.fingerprint = fingerprintOf(detail, request.method + target + '\n' + request.body);
-    detail.callerTimeout = callerTimeoutOf(request);
+    detail.apiKey = apiKeyOf(head);
+    detail.bodyBytes = static_cast<std::uint32_t>(body.size());
+    detail.fingerprint = fingerprintOf(detail, head.method + target + '\n' + body);
+    detail.callerTimeout = callerTimeoutOf(head);
     detail.service = ServiceName(name);
-    detail.idempotencyKey = IdempotencyKey(request.get_header_value("Idempotency-Key"));
-    detail.mayRepeat = isIdempotentMethod(request.method);
-    parsed.forwarded = {request.method,
+    detail.idempotencyKey = IdempotencyKey(std::string(head.valueOf("Idempotency-Key")));
+    detail.mayRepeat = isIdempotentMethod(head.method);
+    parsed.forwarded = {head.method,
                         "/calls" + (tail == std::string::npos ? "" : target.substr(tail)),
-                        request.body, request.get_header_value("Content-Type")};
+                        std::move(body), std::string(head.valueOf("Content-Type"))};
     return parsed;
 }
 
--- a/src/daemon/callerrequest.h
+++ b/src/daemon/callerrequest.h
@@ -2,12 +2,12 @@
 #pragma once
 
 #include <string>
-
-#include <httplib.h>
+#include <string_view>
 
 #include "comfrey/error.h"
 #include "comfrey/events.h"
 #include "daemon/exchange.h"
+#include "traffic/httphead.h"
 
 namespace comfrey {
 
@@ -26,12 +26,12 @@
 
 /// A chat in OpenAI's form. The engine is always asked for a stream, so that a broken answer can go
 /// on at another engine.
-tl::expected<ParsedRequest, RequestFault> parseChat(const httplib::Request &request);
+tl::expected<ParsedRequest, RequestFault> parseChat(const HttpHead &head, std::string_view body);
 
 /// A call to a plain service under /v1/services/NAME/...
-tl::expected<ParsedRequest, RequestFault> parseServiceCall(const httplib::Request &request);
+tl::expected<ParsedRequest, RequestFault> parseServiceCall(const HttpHead &head, std::string body);
 
 /// The hash of the bearer key, or an empty one if there is none.
-ApiKeyHash apiKeyOf(const httplib::Request &request);
+ApiKeyHash apiKeyOf(const HttpHead &head);
 
 } // namespace comfrey
--- a/src/daemon/callerserver.cpp
+++ b/src/daemon/callerserver.cpp
@@ -1,26 +1,20 @@
 // The callers' port.
 #include "daemon/callerserver.h"
 
-#include <nlohmann/json.hpp>
+#include <future>
 
-#include "daemon/calleranswer.h"
+#include <nlohmann/json.hpp>
 
 namespace comfrey {
 
 namespace {
 
-constexpr std::size_t kRefusalThreads = 64; // serve refusals while all others are busy
-constexpr std::chrono::milliseconds kLivenessInterval{200};
-constexpr std::chrono::seconds kKeepAlive{2};
-
-HttpServerOptions serverOptions(const CallerServerOptions &options)
-{
-    HttpServerOptions http;
-    http.maxThreads = options.maxRequests + kRefusalThreads;
-    http.maxBodyBytes = options.maxBodyBytes;
-    http.keepAlive = kKeepAlive;
-    return http;
-}
+constexpr std::size_t kSpareConnections = 512; // idle ones, and those that only get a refusal
+constexpr Duration kHeaderTimeout =
+    milliseconds(5000);                               // a slow caller holds a connection no longer
+constexpr Duration kIdleTimeout = milliseconds(5000); // as the balancer's own
+constexpr std::chrono::milliseconds kStopPoll{10};
+constexpr Duration kBusyRetry = milliseconds(1000); // some of the chats have ended by then
 
 AnswerCaller refusal(CallerError error, std::string text)
 {
@@ -31,154 +25,102 @@
     return answer;
 }
 
-void setOutcome(httplib::Response &response, const Exchange &exchange, Outcome outcome)
+bool startsWith(std::string_view text, std::string_view start)
 {
-    response.set_header("X-Request-Id", exchange.request().value());
-    response.set_header("X-Comfrey-Outcome", textOf(outcome));
+    return text.substr(0, start.size()) == start;
 }
 
-/// Waits until there is something to tell the caller.
-CallerPiece firstPiece(Exchange &exchange)
-{
-    while (true) {
-        CallerPiece piece = exchange.next(kLivenessInterval);
-        if (piece.end || !piece.tokens.empty())
-            return piece;
-    }
-}
-
-/// Writes one caller's stream. Called on the caller's thread until it returns false or is done.
-class StreamWriter
-{
-public:
-    StreamWriter(std::shared_ptr<Exchange> exchange, CallerPiece first)
-        : m_exchange(std::move(exchange)), m_next(std::move(first))
-    { }
-
-    /// False if the caller has left.
-    bool write(httplib::DataSink &sink)
-    {
-        for (const std::string &token : m_next.tokens) {
-            if (!put(sink, tokenEvent(*m_exchange, token)))
-                return false;
-        }
-        if (m_next.end)
-            return writeEnd(sink, *m_next.end);
-        // A comment shows whether the caller is still there: one that only closed its sending side
-        // looks the same as one that has left until something is written.
-        if (m_next.tokens.empty() && !put(sink, kComment))
-            return false;
-        m_next = m_exchange->next(kLivenessInterval);
-        return true;
-    }
-
-    bool isComplete() const { return m_isComplete; }
-
-private:
-    static constexpr const char *kComment = ": waiting\n\n";
-
-    static bool put(httplib::DataSink &sink, const std::string &text)
-    {
-        return sink.write(text.data(), text.size());
-    }
-
-    bool writeEnd(httplib::DataSink &sink, const AnswerCaller &end)
-    {
-        const std::string text = end.outcome == Outcome::Answered
-            ? lastEvents(*m_exchange, m_exchange->summaryOf(end.attempt))
-            : errorEvent(m_exchange->request(), end);
-        if (!put(sink, text))
-            return false;
-        m_isComplete = true;
-        sink.done();
-        return true;
-    }
-
-    std::shared_ptr<Exchange> m_exchange;
-    CallerPiece m_next;
-    bool m_isComplete = false;
-};
-
-void answerWholeChat(httplib::Response &response, Exchange &exchange, CallerPiece piece)
+void answerStatus(CallerConnection &caller, unsigned status, const nlohmann::json &body)
 {
-    std::string text;
-    while (true) {
-        for (const std::string &token : piece.tokens)
-            text += token;
-        if (piece.end)
-            break;
-        piece = firstPiece(exchange);
-    }
-    if (piece.end->outcome != Outcome::Answered)
-        return answerError(response, exchange.request(), *piece.end);
-    setOutcome(response, exchange, Outcome::Answered);
-    response.set_content(wholeChat(exchange, text, exchange.summaryOf(piece.end->attempt)),
-                         "application/json");
+    CallerResponse response = jsonResponse(status, body.dump());
+    caller.respond(status, std::move(response.fields), response.body);
 }
 
 } // namespace
 
-CallerServer::CallerServer(const CallerServerOptions &options, ExchangeTable &exchanges,
-                           ControlThread &control)
-    : m_options(options), m_exchanges(exchanges), m_control(control),
-      m_server(serverOptions(options))
-{
-    addRoutes();
+CallerServer::CallerServer(const CallerServerOptions &options, TrafficLoop &loop,
+                           ExchangeTable &exchanges, EventSink &sink, CallerDirectory &directory,
+                           const ProcessClock &clock)
+    : m_options(options), m_loop(loop), m_exchanges(exchanges), m_sink(sink),
+      m_directory(directory), m_listener(
+                                  loop.context(), *this, [&clock] { return clock.now(); },
+                                  options.maxRequests + kSpareConnections)
+{
+    m_limits.maxBodyBytes = options.maxBodyBytes;
+    m_limits.headerTimeout = kHeaderTimeout;
+    m_limits.idleTimeout = kIdleTimeout;
+    loop.addSweep([this, &clock] {
+        const TimePoint now = clock.now();
+        m_listener.sweep(now);
+        for (const auto &[id, session] : m_sessions)
+            session->sweep(now);
+    });
 }
 
 Result<int> CallerServer::listen(const Endpoint &address)
 {
-    return m_server.listen(address.value());
+    if (auto listening = m_listener.listen(address.value()); !listening)
+        return tl::make_unexpected(listening.error());
+    return m_listener.port();
 }
 
-void CallerServer::addRoutes()
+bool CallerServer::stop(std::chrono::steady_clock::time_point limit)
 {
-    httplib::Server &routes = m_server.routes();
-    routes.Post("/v1/chat/completions",
-                [this](const httplib::Request &request, httplib::Response &response) {
-                    serveChat(request, response);
-                });
-    routes.Get("/v1/models", [this](const httplib::Request &request, httplib::Response &response) {
-        serveModels(request, response);
-    });
-    const auto service = [this](const httplib::Request &request, httplib::Response &response) {
-        serveService(request, response);
-    };
-    constexpr const char *servicePaths = "/v1/services/.+";
-    routes.Get(servicePaths, service);
-    routes.Post(servicePaths, service);
-    routes.Put(servicePaths, service);
-    routes.Patch(servicePaths, service);
-    routes.Delete(servicePaths, service);
-    routes.Get("/healthz", [](const httplib::Request &, httplib::Response &response) {
-        answerJson(response, 200, {{"status", "ok"}});
-    });
-    routes.Get("/readyz", [this](const httplib::Request &, httplib::Response &response) {
-        serveReadiness(response);
+    m_loop.post([this] {
+        m_stopping = true;
+        m_listener.stopListening();
+        m_listener.closeIdle();
     });
-    routes.set_error_handler([this](const httplib::Request &request, httplib::Response &response) {
-        describeFault(request, response);
-    });
-}
-
-void CallerServer::describeFault(const httplib::Request &request, httplib::Response &response)
-{
-    if (response.has_header("X-Comfrey-Outcome") || !response.body.empty())
-        return;
-    const int status = response.status;
-    AnswerCaller answer = refusal(CallerError::Malformed, "the request is malformed");
-    if (status == 404)
-        answer = refusal(CallerError::NotFound, "no such path: \"" + request.path + "\"");
-    if (status == 413)
+    while (std::chrono::steady_clock::now() < limit) {
+        auto open = std::make_shared<std::promise<std::size_t>>();
+        auto reply = open->get_future();
+        m_loop.post([this, open] { open->set_value(m_listener.connectionCount()); });
+        if (reply.wait_until(limit) != std::future_status::ready)
+            return false;
+        if (reply.get() == 0)
+            return true;
+        std::this_thread::sleep_for(kStopPoll);
+    }
+    return false;
+}
+
+void CallerServer::onRequest(const Connection &caller, HttpHead head, std::string body)
+{
+    const std::string_view path = std::string_view(head.target).substr(0, head.target.find('?'));
+    const bool isRead = head.method == "GET" || head.method == "HEAD";
+    constexpr std::string_view servicePrefix = "/v1/services/";
+    constexpr std::string_view serviceMethods[] = {"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"};
+    if (path == "/v1/chat/completions" && head.method == "POST")
+        serveChat(caller, head, body);
+    else if (path == "/v1/models" && isRead)
+        serveModels(caller, head);
+    else if (startsWith(path, servicePrefix) && path.size() > servicePrefix.size()
+             && std::find(std::begin(serviceMethods), std::end(serviceMethods), head.method)
+                 != std::end(serviceMethods))
+        serveService(caller, head, std::move(body));
+    else if (path == "/healthz" && isRead)
+        answerStatus(*caller, 200, {{"status", "ok"}});
+    else if (path == "/readyz" && isRead)
+        serveReadiness(caller);
+    else
+        refuse(*caller, CallerError::NotFound, "no such path: \"" + std::string(path) + "\"");
+}
+
+ResponseContent CallerServer::onBadRequest(unsigned status, std::string_view reason)
+{
+    AnswerCaller answer = refusal(CallerError::Malformed, std::string(reason));
+    constexpr unsigned tooLarge = 413;
+    if (status == tooLarge)
         answer = refusal(CallerError::TooLarge,
                          "the body is over " + std::to_string(m_options.maxBodyBytes) + " bytes");
-    refuse(response, answer);
-    response.status = status;
+    CallerResponse response = errorResponse(nextRequestId(), answer);
+    return {std::move(response.fields), std::move(response.body)};
 }
 
-void CallerServer::refuse(httplib::Response &response, const AnswerCaller &answer)
+void CallerServer::refuse(CallerConnection &caller, CallerError error, std::string text)
 {
-    answerError(response, nextRequestId(), answer);
+    CallerResponse response = errorResponse(nextRequestId(), refusal(error, std::move(text)));
+    caller.respond(response.status, std::move(response.fields), response.body);
 }
 
 RequestId CallerServer::nextRequestId()
@@ -187,103 +129,80 @@
                      + '-' + std::to_string(++m_lastRequest));
 }
 
-std::shared_ptr<Exchange> CallerServer::open(ParsedRequest parsed)
+template<typename Session>
+void CallerServer::open(const Connection &caller, ParsedRequest parsed)
 {
-    auto exchange = std::make_shared<Exchange>(nextRequestId(), std::move(parsed.detail),
-                                               std::move(parsed.forwarded));
+    const auto exchange = std::make_shared<Exchange>(nextRequestId(), std::move(parsed.detail),
+                                                     std::move(parsed.forwarded));
+    m_sessions[exchange->request()] = std::make_shared<Session>(*this, caller, exchange);
     m_exchanges.add(exchange);
-    m_control.post(RequestArrived{exchange->request(), exchange->detail()});
-    return exchange;
+    m_sink.post(RequestArrived{exchange->request(), exchange->detail()});
 }
 
-void CallerServer::close(const Exchange &exchange)
+void CallerServer::onSessionEnded(CallerSession &session, bool left)
 {
-    m_exchanges.remove(exchange.request());
+    const RequestId request = session.exchange().request();
+    if (left)
+        m_sink.post(CallerLeft{request});
+    m_exchanges.remove(request);
+    // The session is still at work further up the stack.
+    m_loop.post([session = std::move(m_sessions[request])] {});
+    m_sessions.erase(request);
 }
 
-void CallerServer::serveChat(const httplib::Request &request, httplib::Response &response)
+void CallerServer::serveChat(const Connection &caller, const HttpHead &head,
+                             const std::string &body)
 {
-    auto parsed = parseChat(request);
+    auto parsed = parseChat(head, body);
     if (!parsed)
-        return refuse(response, refusal(parsed.error().error, parsed.error().text));
+        return refuse(*caller, parsed.error().error, parsed.error().text);
     if (m_exchanges.size() >= m_options.maxRequests) {
         AnswerCaller answer = refusal(CallerError::OutOfContract,
                                       "router \"" + m_options.router.value()
                                           + "\" serves as many requests as it may");
-        answer.retryAfter = std::chrono::seconds(1);
-        return refuse(response, answer);
-    }
-    const std::shared_ptr<Exchange> exchange = open(std::move(*parsed));
-    CallerPiece piece = firstPiece(*exchange);
-    const bool failed =
-        piece.tokens.empty() && piece.end && piece.end->outcome != Outcome::Answered;
-    if (failed) {
-        answerError(response, exchange->request(), *piece.end);
-        return close(*exchange);
-    }
-    if (!exchange->detail().streamed) {
-        answerWholeChat(response, *exchange, std::move(piece));
-        return close(*exchange);
+        answer.retryAfter = kBusyRetry;
+        CallerResponse response = errorResponse(nextRequestId(), answer);
+        return caller->respond(response.status, std::move(response.fields), response.body);
     }
-    setOutcome(response, *exchange, Outcome::Answered);
-    auto writer = std::make_shared<StreamWriter>(exchange, std::move(piece));
-    response.set_chunked_content_provider(
-        "text/event-stream",
-        [writer](std::size_t, httplib::DataSink &sink) { return writer->write(sink); },
-        [this, exchange, writer](bool) {
-            if (!writer->isComplete())
-                m_control.post(CallerLeft{exchange->request()});
-            close(*exchange);
-        });
+    if (parsed->detail.streamed)
+        open<StreamSession>(caller, std::move(*parsed));
+    else
+        open<WholeChatSession>(caller, std::move(*parsed));
 }
 
-void CallerServer::serveService(const httplib::Request &request, httplib::Response &response)
+void CallerServer::serveService(const Connection &caller, const HttpHead &head, std::string body)
 {
-    auto parsed = parseServiceCall(request);
+    auto parsed = parseServiceCall(head, std::move(body));
     if (!parsed)
-        return refuse(response, refusal(parsed.error().error, parsed.error().text));
-    const std::shared_ptr<Exchange> exchange = open(std::move(*parsed));
-    const CallerPiece piece = firstPiece(*exchange);
-    close(*exchange);
-    const AnswerCaller &end = *piece.end;
-    if (end.outcome != Outcome::Answered)
-        return answerError(response, exchange->request(), end);
-    setOutcome(response, *exchange, Outcome::Answered);
-    if (end.status != 0) {
-        response.status = end.status;
-        return response.set_content(end.body, end.contentType);
-    }
-    const AttemptSummary summary = exchange->summaryOf(end.attempt);
-    response.status = summary.status;
-    response.set_content(summary.body, summary.contentType);
-}
-
-void CallerServer::serveModels(const httplib::Request &request, httplib::Response &response)
-{
-    const ApiKeyHash key = apiKeyOf(request);
-    auto models = std::make_shared<std::vector<ModelId>>();
-    const bool answered = m_control.query(
-        [models, key](const Router &router, TimePoint) { *models = router.modelsFor(key); });
-    if (!answered || models->empty()) {
-        return refuse(
-            response,
-            refusal(CallerError::UnknownKey, "the API key is not known or may use no model"));
-    }
-    nlohmann::json list = nlohmann::json::array();
-    for (const ModelId &model : *models)
-        list.push_back({{"id", model.value()}, {"object", "model"}});
-    response.set_header("X-Request-Id", nextRequestId().value());
-    response.set_header("X-Comfrey-Outcome", textOf(Outcome::Answered));
-    answerJson(response, 200, {{"object", "list"}, {"data", list}});
+        return refuse(*caller, parsed.error().error, parsed.error().text);
+    open<ServiceSession>(caller, std::move(*parsed));
+}
+
+void CallerServer::serveModels(const Connection &caller, const HttpHead &head)
+{
+    m_directory.modelsFor(apiKeyOf(head), [this, caller](const std::vector<ModelId> &models) {
+        if (!caller->isOpen())
+            return;
+        if (models.empty())
+            return refuse(*caller, CallerError::UnknownKey,
+                          "the API key is not known or may use no model");
+        nlohmann::json list = nlohmann::json::array();
+        for (const ModelId &model : models)
+            list.push_back({{"id", model.value()}, {"object", "model"}});
+        const nlohmann::json body = {{"object", "list"}, {"data", list}};
+        CallerResponse response = jsonResponse(200, body.dump());
+        for (HttpField &field : outcomeFields(nextRequestId(), Outcome::Answered))
+            response.fields.push_back(std::move(field));
+        caller->respond(response.status, std::move(response.fields), response.body);
+    });
 }
 
-void CallerServer::serveReadiness(httplib::Response &response)
+void CallerServer::serveReadiness(const Connection &caller)
 {
-    auto ready = std::make_shared<bool>(false);
-    const bool answered =
-        m_control.query([ready](const Router &router, TimePoint) { *ready = router.isReady(); });
-    const bool isReady = answered && *ready;
-    answerJson(response, isReady ? 200 : 503, {{"ready", isReady}});
+    m_directory.readiness([caller](bool ready) {
+        if (caller->isOpen())
+            answerStatus(*caller, ready ? 200 : 503, {{"ready", ready}});
+    });
 }
 
 } // namespace comfrey
--- a/src/daemon/callerserver.h
+++ b/src/daemon/callerserver.h
@@ -1,15 +1,21 @@
-// The callers' port: chats, models and service calls. A thread serves one caller's connection.
+// The callers' port: chats, models and service calls, on the traffic loop.
 #pragma once
 
-#include <atomic>
+#include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 #include "comfrey/ids.h"
-#include "common/httpserver.h"
 #include "daemon/callerrequest.h"
-#include "daemon/controlthread.h"
+#include "daemon/callersession.h"
+#include "daemon/eventsink.h"
 #include "daemon/exchangetable.h"
+#include "daemon/processclock.h"
+#include "daemon/trafficloop.h"
+#include "traffic/callerlistener.h"
 
 namespace comfrey {
 
@@ -17,38 +23,63 @@
 {
     RouterId router;
     Incarnation incarnation;
-    std::size_t maxRequests = 256; ///< Served at once; more are refused.
+    std::size_t maxRequests = 256; ///< Chats served at once; more are refused.
     std::size_t maxBodyBytes = 4 << 20;
 };
 
-class CallerServer
+/// What the port asks the decisions; the replies come on the traffic loop.
+class CallerDirectory
 {
 public:
-    CallerServer(const CallerServerOptions &options, ExchangeTable &exchanges,
-                 ControlThread &control);
+    virtual ~CallerDirectory() = default;
+    virtual void readiness(std::function<void(bool ready)> reply) = 0;
+    virtual void modelsFor(const ApiKeyHash &key,
+                           std::function<void(const std::vector<ModelId> &)> reply) = 0;
+};
+
+class CallerServer : public RequestHandler, public SessionOwner
+{
+public:
+    CallerServer(const CallerServerOptions &options, TrafficLoop &loop, ExchangeTable &exchanges,
+                 EventSink &sink, CallerDirectory &directory, const ProcessClock &clock);
 
+    /// Before the loop starts. Returns the port in use.
     Result<int> listen(const Endpoint &address);
-    void start() { m_server.start(); }
-    /// Takes no new connection; returns when every answer has been written.
-    void stop() { m_server.stop(); }
+    /// From another thread: takes no new connection, lets each open one end after its present
+    /// request, and returns true when all have, or false at the limit.
+    bool stop(std::chrono::steady_clock::time_point limit);
+
+    void onRequest(const std::shared_ptr<CallerConnection> &caller, HttpHead head,
+                   std::string body) override;
+    const CallerLimits &limits() const override { return m_limits; }
+    bool isStopping() const override { return m_stopping; }
+    ResponseContent onBadRequest(unsigned status, std::string_view reason) override;
+    bool servesHalfClosed() const override { return true; }
+
+    void onSessionEnded(CallerSession &session, bool left) override;
 
 private:
-    void addRoutes();
-    void serveChat(const httplib::Request &request, httplib::Response &response);
-    void serveService(const httplib::Request &request, httplib::Response &response);
-    void serveModels(const httplib::Request &request, httplib::Response &response);
-    void serveReadiness(httplib::Response &response);
-    void describeFault(const httplib::Request &request, httplib::Response &response);
-    void refuse(httplib::Response &response, const AnswerCaller &answer);
-    std::shared_ptr<Exchange> open(ParsedRequest parsed);
-    void close(const Exchange &exchange);
+    using Connection = std::shared_ptr<CallerConnection>;
+
+    void serveChat(const Connection &caller, const HttpHead &head, const std::string &body);
+    void serveService(const Connection &caller, const HttpHead &head, std::string body);
+    void serveModels(const Connection &caller, const HttpHead &head);
+    void serveReadiness(const Connection &caller);
+    void refuse(CallerConnection &caller, CallerError error, std::string text);
+    template<typename Session>
+    void open(const Connection &caller, ParsedRequest parsed);
     RequestId nextRequestId();
 
     const CallerServerOptions m_options;
+    CallerLimits m_limits;
+    TrafficLoop &m_loop;
     ExchangeTable &m_exchanges;
-    ControlThread &m_control;
-    std::atomic<std::uint64_t> m_lastRequest = 0;
-    HttpServer m_server;
+    EventSink &m_sink;
+    CallerDirectory &m_directory;
+    CallerListener m_listener;
+    std::unordered_map<RequestId, std::shared_ptr<CallerSession>> m_sessions;
+    std::uint64_t m_lastRequest = 0;
+    bool m_stopping = false;
 };
 
 } // namespace comfrey
--- a/src/daemon/chatsender.cpp
+++ b/src/daemon/chatsender.cpp
@@ -5,8 +5,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include "daemon/backendclient.h"
-
 namespace comfrey {
 
 namespace {
@@ -25,83 +23,42 @@
 
 } // namespace
 
-ChatSender::ChatSender(const SendToBackend &order, Exchange &exchange, RunningAttempt &running,
-                       HttpClientPool &clients, EventSink &sink)
-    : m_order(order), m_exchange(exchange), m_running(running), m_clients(clients), m_sink(sink),
-      m_deadline(std::chrono::steady_clock::now() + order.timeout), m_reader(kMaxEventBytes)
+ChatSender::ChatSender(SendingParts &parts, SendToBackend order, std::shared_ptr<Exchange> exchange)
+    : BackendSender(parts, std::move(order), std::move(exchange)), m_reader(kMaxEventBytes)
 { }
 
-AttemptEnded ChatSender::run()
-{
-    std::unique_ptr<httplib::Client> client = m_clients.take(m_order.address);
-    client->set_read_timeout(m_order.timeout);
-    m_running.attach(client.get());
-    httplib::Request request = makeRequest();
-    const httplib::Result result = client->send(request);
-    m_running.detach();
-    AttemptEnded ended;
-    ended.attempt = m_order.attempt;
-    ended.request = m_order.request;
-    ended.how = endOf(result);
-    ended.status = m_status;
-    ended.tokens = m_tokens;
-    ended.cachedPromptTokens = m_summary.cachedTokens;
-    ended.backendLeaving = m_leaving;
-    if (result && !m_running.isCancelled())
-        m_clients.giveBack(m_order.address, std::move(client));
-    return ended;
-}
-
-httplib::Request ChatSender::makeRequest()
+std::vector<HttpField> ChatSender::fields() const
 {
-    const ForwardedRequest &forwarded = m_exchange.forwarded();
-    httplib::Request request;
-    request.method = "POST";
-    request.path = forwarded.path;
-    request.body = forwarded.body;
-    request.set_header("Content-Type", "application/json");
-    request.set_header("X-Request-Id", m_order.request.value());
-    request.set_header("X-Priority", std::to_string(static_cast<int>(m_order.priority)));
-    request.set_header("X-Resume-At", std::to_string(m_order.resumeAt));
-    if (!m_exchange.detail().chat.isEmpty())
-        request.set_header("X-Chat-Id", m_exchange.detail().chat.value());
-    if (m_order.importKvFrom)
-        request.set_header("X-Import-Kv-From", m_order.importKvFrom->value());
-    request.response_handler = [this](const httplib::Response &response) {
-        return takeHead(response);
-    };
-    request.content_receiver = [this](const char *data, std::size_t size, std::uint64_t,
-                                      std::uint64_t) { return takeBytes(data, size); };
-    return request;
+    std::vector<HttpField> fields = {
+        {"X-Priority", std::to_string(static_cast<int>(order().priority))},
+        {"X-Resume-At", std::to_string(order().resumeAt)}};
+    if (!exchange().detail().chat.isEmpty())
+        fields.push_back({"X-Chat-Id", exchange().detail().chat.value()});
+    if (order().importKvFrom)
+        fields.push_back({"X-Import-Kv-From", order().importKvFrom->value()});
+    return fields;
 }
 
-bool ChatSender::takeHead(const httplib::Response &response)
+bool ChatSender::takeHead(const HttpHead &head)
 {
-    m_status = response.status;
-    m_notStarted = response.has_header("X-Not-Started");
-    m_leaving = response.has_header("X-Leaving");
+    m_status = static_cast<int>(head.status);
+    m_notStarted = head.count("X-Not-Started") > 0;
+    m_leaving = head.count("X-Leaving") > 0;
     return true;
 }
 
-bool ChatSender::takeBytes(const char *data, std::size_t size)
+bool ChatSender::takeBytes(std::string_view bytes)
 {
-    if (m_running.isCancelled() || isLate())
-        return false;
     if (m_status != 200)
         return true;
-    return m_reader.feed({data, size}, [this](std::string_view event) { return takeEvent(event); });
-}
-
-bool ChatSender::isLate() const
-{
-    return std::chrono::steady_clock::now() > m_deadline;
+    return m_reader.feed(bytes, [this](std::string_view event) { return takeEvent(event); });
 }
 
 bool ChatSender::takeEvent(std::string_view data)
 {
     if (data == kLastEvent) {
         m_isWhole =
-            !m_summary.finishReason.empty() && m_exchange.finish(m_order.attempt, m_summary);
+            !m_summary.finishReason.empty() && exchange().finish(order().attempt, m_summary);
         return true;
     }
     const nlohmann::json event = nlohmann::json::parse(data, nullptr, false);
@@ -115,7 +72,7 @@
         m_summary.promptTokens = usage->value("prompt_tokens", Tokens{0});
         // The engine counts from the position where it was asked to begin.
         m_summary.completionTokens =
-            m_order.resumeAt + usage->value("completion_tokens", Tokens{0});
+            order().resumeAt + usage->value("completion_tokens", Tokens{0});
         m_summary.cachedTokens = usage->value("cached_tokens", Tokens{0});
     }
     const std::string text = contentOf(choice);
@@ -129,7 +86,7 @@
 
 bool ChatSender::takeLastChunk(const std::string &answerId, const std::string &finishReason)
 {
-    if (answerId != m_order.request.value()) {
+    if (answerId != order().request.value()) {
         m_isForeign = true;
         return false;
     }
@@ -137,13 +94,13 @@
     return true;
 }
 
-bool ChatSender::takeToken(const std::string &answerId, Tokens position, std::string text)
+bool ChatSender::takeToken(const std::string &answerId, Tokens position, const std::string &text)
 {
-    switch (m_exchange.deliver(m_order.attempt, RequestId(answerId), position, std::move(text))) {
+    switch (exchange().deliver(order().attempt, RequestId(answerId), position, text)) {
     case RelayVerdict::Deliver:
         ++m_tokens;
         if (m_tokens == 1 || m_tokens % kProgressEvery == 0) {
-            m_sink.post(AttemptProgress{m_order.attempt, m_order.request, m_tokens,
+            sink().post(AttemptProgress{order().attempt, order().request, m_tokens,
                                         m_summary.cachedTokens});
         }
         return true;
@@ -161,22 +118,28 @@
     return false;
 }
 
-AttemptEnd ChatSender::endOf(const httplib::Result &result) const
+void ChatSender::describeEnd(Cause cause, AttemptEnded &ended)
+{
+    ended.how = endOf(cause);
+    ended.status = m_status;
+    ended.tokens = m_tokens;
+    ended.cachedPromptTokens = m_summary.cachedTokens;
+    ended.backendLeaving = m_leaving;
+}
+
+AttemptEnd ChatSender::endOf(Cause cause) const
 {
     if (m_isWhole)
         return AttemptEnd::Completed;
     if (m_isForeign)
         return AttemptEnd::ForeignAnswer;
-    if (m_running.isCancelled() || m_isSuperseded)
+    if (cause == Cause::Cancelled || m_isSuperseded)
         return AttemptEnd::Cancelled;
     if (m_status != 0 && m_status != 200)
         return endOfStatus();
-    const bool connected = result
-        || (result.error() != httplib::Error::Connection
-            && result.error() != httplib::Error::ConnectionTimeout);
-    if (!connected)
+    if (cause == Cause::NotConnected)
         return AttemptEnd::NotConnected;
-    if (isLate())
+    if (cause == Cause::TimedOut)
         return AttemptEnd::TimedOut;
     return m_status == 0 ? AttemptEnd::BrokenBeforeAnswer : AttemptEnd::BrokenInAnswer;
 }
--- a/src/daemon/chatsender.h
+++ b/src/daemon/chatsender.h
@@ -4,42 +4,29 @@
 #include <string>
 #include <string_view>
 
-#include "comfrey/actions.h"
-#include "common/httpclient.h"
-#include "daemon/eventsink.h"
-#include "daemon/exchange.h"
+#include "daemon/backendsender.h"
 #include "relay/ssereader.h"
 
 namespace comfrey {
 
-class RunningAttempt;
-
-class ChatSender
+class ChatSender : public BackendSender
 {
 public:
-    ChatSender(const SendToBackend &order, Exchange &exchange, RunningAttempt &running,
-               HttpClientPool &clients, EventSink &sink);
+    ChatSender(SendingParts &parts, SendToBackend order, std::shared_ptr<Exchange> exchange);
 
-    /// Blocks until the answer ended one way or another.
-    AttemptEnded run();
+protected:
+    std::vector<HttpField> fields() const override;
+    bool takeHead(const HttpHead &head) override;
+    bool takeBytes(std::string_view bytes) override;
+    void describeEnd(Cause cause, AttemptEnded &ended) override;
 
 private:
-    httplib::Request makeRequest();
-    bool takeHead(const httplib::Response &response);
-    bool takeBytes(const char *data, std::size_t size);
     bool takeEvent(std::string_view data);
-    bool takeToken(const std::string &answerId, Tokens position, std::string text);
+    bool takeToken(const std::string &answerId, Tokens position, const std::string &text);
     bool takeLastChunk(const std::string &answerId, const std::string &finishReason);
-    bool isLate() const;
-    AttemptEnd endOf(const httplib::Result &result) const;
+    AttemptEnd endOf(Cause cause) const;
     AttemptEnd endOfStatus() const;
 
-    const SendToBackend &m_order;
-    Exchange &m_exchange;
-    RunningAttempt &m_running;
-    HttpClientPool &m_clients;
-    EventSink &m_sink;
-    const std::chrono::steady_clock::time_point m_deadline;
     SseReader m_reader;
     AttemptSummary m_summary;
     int m_status = 0;
--- a/src/daemon/controlthread.cpp
+++ b/src/daemon/controlthread.cpp
@@ -124,6 +124,13 @@
         caf::anon_send(m_actor, EventMessage{std::make_shared<Event>(std::move(event))});
     }
 
+    void ask(std::function<void(const Router &, TimePoint)> reader)
+    {
+        QueryMessage message{
+            std::make_shared<std::function<void(const Router &, TimePoint)>>(std::move(reader))};
+        caf::anon_send(m_actor, std::move(message));
+    }
+
     bool query(std::function<void(const Router &, TimePoint)> reader)
     {
         auto done = std::make_shared<std::promise<void>>();
@@ -132,9 +139,7 @@
             reader(router, now);
             done->set_value();
         };
-        QueryMessage message{
-            std::make_shared<std::function<void(const Router &, TimePoint)>>(std::move(wrapped))};
-        caf::anon_send(m_actor, std::move(message));
+        ask(std::move(wrapped));
         return ready.wait_for(kQueryLimit) == std::future_status::ready;
     }
 
@@ -162,6 +167,11 @@
     m_impl->stop();
 }
 
+void ControlThread::ask(std::function<void(const Router &router, TimePoint now)> reader)
+{
+    m_impl->ask(std::move(reader));
+}
+
 bool ControlThread::query(std::function<void(const Router &router, TimePoint now)> reader)
 {
     return m_impl->query(std::move(reader));
--- a/src/daemon/controlthread.h
+++ b/src/daemon/controlthread.h
@@ -32,6 +32,8 @@
     /// Ends the actor and waits for it: no action is run any more.
     void stop();
 
+    /// Runs a reading function on the control thread, later; it must not block.
+    void ask(std::function<void(const Router &router, TimePoint now)> reader);
     /// Runs a reading function on the control thread and waits for it, at most a second. Returns
     /// false if it did not run in time.
     bool query(std::function<void(const Router &router, TimePoint now)> reader);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -18,7 +18,6 @@
 constexpr std::chrono::milliseconds kStopPoll{10};
 // Time for the balancer to see the readiness; new requests are refused meanwhile.
 constexpr std::chrono::milliseconds kReadinessLag{500};
-constexpr std::size_t kAttemptsPerRequest = 2; // a hedge runs beside the first attempt
 
 CallerServerOptions callerOptions(const Settings &settings, Incarnation incarnation)
 {
@@ -47,6 +46,33 @@
     EventSink *m_target = nullptr; ///< Set before any component can post.
 };
 
+/// Asks the control thread for the callers' port and brings the replies back to the traffic loop.
+class ControlDirectory : public CallerDirectory
+{
+public:
+    ControlDirectory(ControlThread &control, TrafficLoop &loop) : m_control(control), m_loop(loop)
+    { }
+
+    void readiness(std::function<void(bool)> reply) override
+    {
+        m_control.ask([this, reply = std::move(reply)](const Router &router, TimePoint) {
+            m_loop.post([reply, ready = router.isReady()] { reply(ready); });
+        });
+    }
+
+    void modelsFor(const ApiKeyHash &key,
+                   std::function<void(const std::vector<ModelId> &)> reply) override
+    {
+        m_control.ask([this, key, reply = std::move(reply)](const Router &router, TimePoint) {
+            m_loop.post([reply, models = router.modelsFor(key)] { reply(models); });
+        });
+    }
+
+private:
+    ControlThread &m_control;
+    TrafficLoop &m_loop;
+};
+
 /// Waits for the word that the router has nothing in flight.
 class StoppedSignal
 {
@@ -78,9 +104,8 @@
     explicit Impl(const Settings &settings)
         : m_settings(settings),
           m_incarnation(static_cast<std::uint64_t>(m_clock.now().time_since_epoch().count())),
-          m_dispatcher(m_exchanges, [this] { m_stopped.raise(); }),
-          m_backends(m_exchanges, m_sink, m_clock,
-                     kAttemptsPerRequest * settings.router.trafficThreads),
+          m_dispatcher(m_loop, m_exchanges, [this] { m_stopped.raise(); }),
+          m_backends(m_loop, m_exchanges, m_sink, m_clock),
           m_platform(Endpoint(settings.platform.address),
                      std::chrono::milliseconds(settings.platform.requestTimeoutMs), m_sink),
           m_peers(m_sink)
@@ -90,8 +115,7 @@
 
     ~Impl()
     {
-        if (m_callers != nullptr)
-            m_callers->stop();
+        m_loop.stop();
         if (m_operators != nullptr)
             m_operators->stop();
         if (m_control != nullptr)
@@ -104,8 +128,9 @@
             std::make_unique<Router>(m_settings, m_incarnation, randomSeed()), m_clock,
             m_dispatcher);
         m_sink.connect(*m_control);
-        m_callers = std::make_unique<CallerServer>(callerOptions(m_settings, m_incarnation),
-                                                   m_exchanges, *m_control);
+        m_directory = std::make_unique<ControlDirectory>(*m_control, m_loop);
+        m_callers = std::make_unique<CallerServer>(callerOptions(m_settings, m_incarnation), m_loop,
+                                                   m_exchanges, m_sink, *m_directory, m_clock);
         m_operators = std::make_unique<OperatorServer>(*m_control);
         if (auto peers = m_peers.start(Endpoint(m_settings.router.peerAddress)); !peers)
             return peers;
@@ -116,7 +141,7 @@
             return tl::make_unexpected(port.error());
         }
         m_operators->start();
-        m_callers->start();
+        m_loop.start();
         return {};
     }
 
@@ -130,17 +155,15 @@
         while (m_exchanges.size() > 0 && std::chrono::steady_clock::now() < limit)
             std::this_thread::sleep_for(kStopPoll);
         const bool whole = idle && m_exchanges.size() == 0;
-        // An exchange ends before the last bytes of its answer are written: the server's threads
-        // end after that.
-        if (whole)
-            m_callers->stop();
-        return whole;
+        // An exchange ends before the last bytes of its answer are written.
+        return whole && m_callers->stop(limit);
     }
 
 private:
     const Settings m_settings;
     ProcessClock m_clock;
     const Incarnation m_incarnation;
+    TrafficLoop m_loop; ///< Outlives all sockets on it.
     ExchangeTable m_exchanges;
     StoppedSignal m_stopped;
     std::unique_ptr<ControlThread> m_control; ///< Outlives all that posts to it.
@@ -149,6 +172,7 @@
     BackendClient m_backends;
     PlatformClient m_platform;
     PeerLink m_peers;
+    std::unique_ptr<ControlDirectory> m_directory;
     std::unique_ptr<CallerServer> m_callers;
     std::unique_ptr<OperatorServer> m_operators;
 };
--- a/src/daemon/exchange.cpp
+++ b/src/daemon/exchange.cpp
@@ -11,22 +11,18 @@
 { }
 
 RelayVerdict Exchange::deliver(AttemptId attempt, const RequestId &answerId, Tokens position,
-                               std::string text)
+                               const std::string &text)
 {
-    const std::lock_guard lock(m_mutex);
-    if (m_end)
+    if (m_ended)
         return RelayVerdict::Superseded;
     const RelayVerdict verdict = m_relay.judge(attempt, answerId, position);
-    if (verdict == RelayVerdict::Deliver) {
-        m_tokens.push_back(std::move(text));
-        m_changed.notify_all();
-    }
+    if (verdict == RelayVerdict::Deliver && m_listener)
+        m_listener->onToken(text);
     return verdict;
 }
 
 bool Exchange::finish(AttemptId attempt, AttemptSummary summary)
 {
-    const std::lock_guard lock(m_mutex);
     const bool isChat = m_detail.kind == RequestKind::Chat;
     if (isChat && !m_relay.isWholeAt(summary.completionTokens))
         return false;
@@ -34,42 +30,28 @@
     return true;
 }
 
-void Exchange::release(AttemptId attempt)
+void Exchange::end(const AnswerCaller &answer)
 {
-    const std::lock_guard lock(m_mutex);
-    m_relay.release(attempt);
-}
-
-Tokens Exchange::delivered() const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_relay.delivered();
-}
-
-void Exchange::end(AnswerCaller answer)
-{
-    const std::lock_guard lock(m_mutex);
-    if (m_end)
+    if (std::exchange(m_ended, true))
         return;
-    m_end = std::move(answer);
-    m_changed.notify_all();
-}
-
-CallerPiece Exchange::next(std::chrono::milliseconds limit)
-{
-    std::unique_lock lock(m_mutex);
-    m_changed.wait_for(lock, limit, [this] { return m_end || !m_tokens.empty(); });
-    CallerPiece piece;
-    piece.tokens = std::exchange(m_tokens, {});
-    piece.end = m_end;
-    return piece;
+    setBacklogged(false);
+    if (m_listener)
+        m_listener->onEnd(answer);
 }
 
 AttemptSummary Exchange::summaryOf(AttemptId attempt) const
 {
-    const std::lock_guard lock(m_mutex);
     const auto found = m_summaries.find(attempt);
     return found == m_summaries.end() ? AttemptSummary() : found->second;
 }
 
+void Exchange::setBacklogged(bool backlogged)
+{
+    m_backlogged = backlogged;
+    if (backlogged)
+        return;
+    for (const auto &resume : std::exchange(m_resumes, {}))
+        resume();
+}
+
 } // namespace comfrey
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -1,11 +1,9 @@
-// One caller's request inside the process: where the traffic threads that run its attempts, the
-// control thread, and the thread that serves the caller meet.
+// One caller's request inside the process: where the attempts that read its answer, the control
+// thread's decisions and the caller's connection meet. Lives on the traffic loop alone.
 #pragma once
 
-#include <chrono>
-#include <condition_variable>
+#include <functional>
 #include <map>
-#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -37,11 +35,14 @@
     Tokens cachedTokens = 0;
 };
 
-/// What the caller's thread gets next.
-struct CallerPiece
+/// Tells the caller.
+class ExchangeListener
 {
-    std::vector<std::string> tokens; ///< In order; possibly empty.
-    std::optional<AnswerCaller> end; ///< Set once, after the last token.
+public:
+    virtual ~ExchangeListener() = default;
+    virtual void onToken(const std::string &text) = 0;
+    /// Called once, after the last token.
+    virtual void onEnd(const AnswerCaller &answer) = 0;
 };
 
 class Exchange
@@ -53,35 +54,39 @@
     const CallerRequest &detail() const { return m_detail; }
     const ForwardedRequest &forwarded() const { return m_forwarded; }
 
-    /// Called by an attempt's thread for each token that it read.
+    /// Null ends the listening; what comes then is dropped.
+    void listen(ExchangeListener *listener) { m_listener = listener; }
+
+    /// For each token that an attempt read.
     RelayVerdict deliver(AttemptId attempt, const RequestId &answerId, Tokens position,
-                         std::string text);
-    /// Called by an attempt's thread after its last token. Returns whether the caller has, or will
-    /// have, all tokens of this answer.
+                         const std::string &text);
+    /// After an attempt's last token. Returns whether the caller has all tokens of this answer.
     bool finish(AttemptId attempt, AttemptSummary summary);
-    /// Called by an attempt's thread when it reads no more.
-    void release(AttemptId attempt);
-    Tokens delivered() const;
-
-    /// Called by the control thread; the first call wins.
-    void end(AnswerCaller answer);
+    /// The attempt reads no more.
+    void release(AttemptId attempt) { m_relay.release(attempt); }
+    Tokens delivered() const { return m_relay.delivered(); }
 
-    /// Waits for tokens or the end, at most for `limit`.
-    CallerPiece next(std::chrono::milliseconds limit);
+    /// The router's decision; the first one wins.
+    void end(const AnswerCaller &answer);
     /// The summary of a finished attempt, or an empty one.
     AttemptSummary summaryOf(AttemptId attempt) const;
 
+    /// The caller reads slower than the back end writes: attempts stop reading until it has room.
+    void setBacklogged(bool backlogged);
+    bool isBacklogged() const { return m_backlogged; }
+    /// Runs `resume` once, as soon as the caller has room again.
+    void whenRoom(std::function<void()> resume) { m_resumes.push_back(std::move(resume)); }
+
 private:
     const RequestId m_request;
     const CallerRequest m_detail;
     const ForwardedRequest m_forwarded;
-
-    mutable std::mutex m_mutex; ///< Guards all below.
-    std::condition_variable m_changed;
     StreamRelay m_relay;
-    std::vector<std::string> m_tokens; ///< Delivered by attempts, not yet taken by the caller.
     std::map<AttemptId, AttemptSummary> m_summaries;
-    std::optional<AnswerCaller> m_end;
+    ExchangeListener *m_listener = nullptr;
+    std::vector<std::function<void()>> m_resumes;
+    bool m_backlogged = false;
+    bool m_ended = false;
 };
 
 } // namespace comfrey
--- a/src/daemon/exchangetable.h
+++ b/src/daemon/exchangetable.h
@@ -1,8 +1,9 @@
-// All exchanges that are open in this process, by request id.
+// All exchanges that are open in this process, by request id. Lives on the traffic loop; only the
+// count may be read from other threads.
 #pragma once
 
+#include <atomic>
 #include <memory>
-#include <mutex>
 #include <unordered_map>
 
 #include "daemon/exchange.h"
@@ -14,32 +15,28 @@
 public:
     void add(const std::shared_ptr<Exchange> &exchange)
     {
-        const std::lock_guard lock(m_mutex);
         m_exchanges[exchange->request()] = exchange;
+        m_size = m_exchanges.size();
     }
 
     void remove(const RequestId &request)
     {
-        const std::lock_guard lock(m_mutex);
         m_exchanges.erase(request);
+        m_size = m_exchanges.size();
     }
 
     std::shared_ptr<Exchange> find(const RequestId &request) const
     {
-        const std::lock_guard lock(m_mutex);
         const auto found = m_exchanges.find(request);
         return found == m_exchanges.end() ? nullptr : found->second;
     }
 
-    std::size_t size() const
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_exchanges.size();
-    }
+    /// From any thread.
+    std::size_t size() const { return m_size; }
 
 private:
-    mutable std::mutex m_mutex;
     std::unordered_map<RequestId, std::shared_ptr<Exchange>> m_exchanges;
+    std::atomic<std::size_t> m_size = 0;
 };
 
 } // namespace comfrey
--- a/src/daemon/servicesender.cpp
+++ b/src/daemon/servicesender.cpp
@@ -1,99 +1,66 @@
 // One sending of a call to a replica of a plain service.
 #include "daemon/servicesender.h"
 
-#include "daemon/backendclient.h"
-
 namespace comfrey {
 
 namespace {
 
-constexpr std::chrono::milliseconds kConnectTimeout{500};
+constexpr std::size_t kMaxAnswerBytes = std::size_t{16} << 20; // held whole, four times a request
 
 } // namespace
 
-ServiceSender::ServiceSender(const SendToBackend &order, Exchange &exchange,
-                             RunningAttempt &running, HttpClientPool &clients)
-    : m_order(order), m_exchange(exchange), m_running(running), m_clients(clients)
-{ }
-
-AttemptEnded ServiceSender::run()
+std::vector<HttpField> ServiceSender::fields() const
 {
-    std::unique_ptr<httplib::Client> client = takeClient();
-    client->set_read_timeout(m_order.timeout);
-    m_running.attach(client.get());
-    const httplib::Result result = client->send(makeRequest());
-    m_running.detach();
-    AttemptEnded ended;
-    ended.attempt = m_order.attempt;
-    ended.request = m_order.request;
-    ended.how = endOf(result);
-    if (result) {
-        ended.status = result->status;
-        ended.backendLeaving = result->has_header("X-Leaving");
-        ended.body = result->body;
-        ended.contentType = result->get_header_value("Content-Type");
-    }
-    if (ended.how == AttemptEnd::Completed) {
-        AttemptSummary summary;
-        summary.status = ended.status;
-        summary.body = ended.body;
-        summary.contentType = ended.contentType;
-        m_exchange.finish(m_order.attempt, std::move(summary));
-    }
-    if (result && !m_order.freshConnection)
-        m_clients.giveBack(m_order.address, std::move(client));
-    return ended;
+    const IdempotencyKey &key = exchange().detail().idempotencyKey;
+    if (key.isEmpty())
+        return {};
+    return {{"Idempotency-Key", key.value()}};
 }
 
-std::unique_ptr<httplib::Client> ServiceSender::takeClient()
+bool ServiceSender::takeHead(const HttpHead &head)
 {
-    if (!m_order.freshConnection)
-        return m_clients.take(m_order.address);
-    // A kept connection may have been closed by the other side: the request could then have left
-    // this process without the certainty that it did not run.
-    HttpClientOptions options;
-    options.connectTimeout = kConnectTimeout;
-    options.keepAlive = false;
-    return makeHttpClient(m_order.address, options);
+    m_hasHead = true;
+    m_answer.status = static_cast<int>(head.status);
+    m_answer.contentType = head.valueOf("Content-Type");
+    m_isOwn = head.valueOf("X-Request-Id") == order().request.value();
+    m_notStarted = head.count("X-Not-Started") > 0;
+    m_leaving = head.count("X-Leaving") > 0;
+    return m_isOwn;
 }
 
-httplib::Request ServiceSender::makeRequest() const
+bool ServiceSender::takeBytes(std::string_view bytes)
 {
-    const ForwardedRequest &forwarded = m_exchange.forwarded();
-    httplib::Request request;
-    request.method = forwarded.method;
-    request.path = forwarded.path;
-    request.body = forwarded.body;
-    if (!forwarded.contentType.empty())
-        request.set_header("Content-Type", forwarded.contentType);
-    request.set_header("X-Request-Id", m_order.request.value());
-    const IdempotencyKey &key = m_exchange.detail().idempotencyKey;
-    if (!key.isEmpty())
-        request.set_header("Idempotency-Key", key.value());
-    return request;
+    if (m_answer.body.size() + bytes.size() > kMaxAnswerBytes)
+        return false;
+    m_answer.body += bytes;
+    return true;
 }
 
-bool ServiceSender::isOwnAnswer(const httplib::Response &response) const
+void ServiceSender::describeEnd(Cause cause, AttemptEnded &ended)
 {
-    return response.get_header_value("X-Request-Id") == m_order.request.value();
+    ended.how = endOf(cause);
+    ended.backendLeaving = m_leaving;
+    if (cause != Cause::Whole)
+        return;
+    ended.status = m_answer.status;
+    ended.body = m_answer.body;
+    ended.contentType = m_answer.contentType;
+    if (ended.how == AttemptEnd::Completed)
+        exchange().finish(order().attempt, std::move(m_answer));
 }
 
-AttemptEnd ServiceSender::endOf(const httplib::Result &result) const
+AttemptEnd ServiceSender::endOf(Cause cause) const
 {
-    if (!result) {
-        switch (result.error()) {
-        case httplib::Error::Connection:
-        case httplib::Error::ConnectionTimeout:
-            return AttemptEnd::NotConnected;
-        default:
-            return m_running.isCancelled() ? AttemptEnd::Cancelled : AttemptEnd::BrokenBeforeAnswer;
-        }
-    }
-    if (!isOwnAnswer(*result))
+    if (cause == Cause::NotConnected)
+        return AttemptEnd::NotConnected;
+    if (cause == Cause::Cancelled)
+        return AttemptEnd::Cancelled;
+    if (m_hasHead && !m_isOwn)
         return AttemptEnd::ForeignAnswer;
-    if (result->status == 503 && result->has_header("X-Not-Started"))
-        return AttemptEnd::RefusedUnstarted;
-    return AttemptEnd::Completed;
+    if (cause != Cause::Whole)
+        return AttemptEnd::BrokenBeforeAnswer;
+    return m_answer.status == 503 && m_notStarted ? AttemptEnd::RefusedUnstarted
+                                                  : AttemptEnd::Completed;
 }
 
 } // namespace comfrey
--- a/src/daemon/servicesender.h
+++ b/src/daemon/servicesender.h
@@ -1,33 +1,29 @@
 // One sending of a call to a replica of a plain service; its answer is read whole.
 #pragma once
 
-#include "comfrey/actions.h"
-#include "common/httpclient.h"
-#include "daemon/exchange.h"
+#include "daemon/backendsender.h"
 
 namespace comfrey {
 
-class RunningAttempt;
-
-class ServiceSender
+class ServiceSender : public BackendSender
 {
 public:
-    ServiceSender(const SendToBackend &order, Exchange &exchange, RunningAttempt &running,
-                  HttpClientPool &clients);
+    using BackendSender::BackendSender;
 
-    /// Blocks until the answer ended one way or another.
-    AttemptEnded run();
+protected:
+    std::vector<HttpField> fields() const override;
+    bool takeHead(const HttpHead &head) override;
+    bool takeBytes(std::string_view bytes) override;
+    void describeEnd(Cause cause, AttemptEnded &ended) override;
 
 private:
-    std::unique_ptr<httplib::Client> takeClient();
-    httplib::Request makeRequest() const;
-    AttemptEnd endOf(const httplib::Result &result) const;
-    bool isOwnAnswer(const httplib::Response &response) const;
+    AttemptEnd endOf(Cause cause) const;
 
-    const SendToBackend &m_order;
-    Exchange &m_exchange;
-    RunningAttempt &m_running;
-    HttpClientPool &m_clients;
+    AttemptSummary m_answer;
+    bool m_hasHead = false;
+    bool m_isOwn = false; ///< The answer carries the request's id.
+    bool m_notStarted = false;
+    bool m_leaving = false;
 };
 
 } // namespace comfrey
--- a/src/gateway/fleetlink.h
+++ b/src/gateway/fleetlink.h
@@ -71,7 +71,6 @@
                    std::string body) override;
     const CallerLimits &limits() const override { return m_limits; }
     bool isStopping() const override { return false; }
-    void onBadRequest(unsigned, std::string_view) override { }
 
 private:
     /// What an answer is used for.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -29,11 +29,12 @@
     return table ? table->config().limits : m_defaultLimits;
 }
 
-void Gateway::onBadRequest(unsigned status, std::string_view reason)
+ResponseContent Gateway::onBadRequest(unsigned status, std::string_view reason)
 {
     m_parts.metrics.count("comfrey_bad_requests_total",
                           "status=\"" + std::to_string(status) + "\"");
     LogLine(m_parts.log, "request-unreadable", now()).add("status", status).add("reason", reason);
+    return plainContent(reason);
 }
 
 void Gateway::ended(const std::shared_ptr<Exchange> &exchange)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -41,7 +41,7 @@
                    std::string body) override;
     const CallerLimits &limits() const override;
     bool isStopping() const override { return m_stopping; }
-    void onBadRequest(unsigned status, std::string_view reason) override;
+    ResponseContent onBadRequest(unsigned status, std::string_view reason) override;
 
     /// From now on each response closes its connection.
     void stop() { m_stopping = true; }
--- a/src/traffic/callerconnection.cpp
+++ b/src/traffic/callerconnection.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t kMaxPipelinedBytes = 65536; ///< Read ahead of the present request.
 constexpr Duration kClosingLimit =
     milliseconds(1000); ///< For the caller's own close after the last response.
+/// A caller that takes nothing for so long is gone: longer than any of its own time limits.
+constexpr Duration kStalledLimit = milliseconds(30000);
 
 void appendStatusLine(std::string &out, unsigned status)
 {
@@ -25,6 +27,11 @@
 
 } // namespace
 
+ResponseContent plainContent(std::string_view text)
+{
+    return {{{"Content-Type", "text/plain"}}, std::string(text) + "\n"};
+}
+
 std::string_view reasonPhrase(unsigned status)
 {
     const auto text =
@@ -33,7 +40,8 @@
 }
 
 CallerConnection::CallerConnection(Socket socket, RequestHandler &handler, TimePoint now)
-    : m_socket(std::move(socket)), m_handler(handler), m_now(now), m_stateSince(now)
+    : m_socket(std::move(socket)), m_handler(handler), m_now(now), m_stateSince(now),
+      m_progressAt(now)
 { }
 
 void CallerConnection::start()
@@ -47,7 +55,7 @@
 
 void CallerConnection::read()
 {
-    if (m_reading || !m_isOpen)
+    if (m_reading || !m_isOpen || m_halfClosed)
         return;
     if (m_state == State::Busy && m_unparsed.size() >= kMaxPipelinedBytes)
         return;
@@ -64,6 +72,12 @@
 {
     if (!m_isOpen)
         return;
+    if (error == boost::asio::error::eof && m_state == State::Busy
+        && m_handler.servesHalfClosed()) {
+        m_halfClosed = true;
+        m_keepsAlive = m_keepsAlive && !m_unparsed.empty();
+        return;
+    }
     if (error) {
         CallerWatcher *watcher = std::exchange(m_watcher, nullptr);
         close();
@@ -123,13 +137,12 @@
 
 void CallerConnection::refuse(unsigned status, std::string_view reason)
 {
-    m_handler.onBadRequest(status, reason);
+    ResponseContent content = m_handler.onBadRequest(status, reason);
     m_state = State::Busy;
     m_keepsAlive = false;
     m_minorVersion = 1;
     m_isHead = false;
-    std::string body(reason);
-    respond(status, {{"Content-Type", "text/plain"}}, body + "\n", true);
+    respond(status, std::move(content.fields), content.body, true);
 }
 
 bool CallerConnection::closesAfterResponse() const
@@ -249,6 +262,8 @@
             watcher->onCallerGone();
         return;
     }
+    if (m_state == State::Idle)
+        m_stateSince = m_now;
     if (m_state == State::Closing)
         closeAfterWrite();
     else if (m_watcher)
@@ -264,7 +279,10 @@
         return;
     boost::system::error_code ignored; // The caller may have closed first.
     m_socket.shutdown(Socket::shutdown_send, ignored);
-    read();
+    if (m_halfClosed)
+        close();
+    else
+        read();
 }
 
 void CallerConnection::closeIdle()
@@ -273,13 +291,26 @@
         close();
 }
 
+bool CallerConnection::isWriteStalled(TimePoint now)
+{
+    if (m_writer.backlog() == 0 || m_writer.progress() != m_progress) {
+        m_progress = m_writer.progress();
+        m_progressAt = now;
+    }
+    return now - m_progressAt > kStalledLimit;
+}
+
 bool CallerConnection::sweep(TimePoint now)
 {
     m_now = now;
+    if (m_isOpen && (m_writer.isBroken() || isWriteStalled(now))) {
+        onDrained(false);
+        return false;
+    }
     const Duration age = now - m_stateSince;
     switch (m_state) {
     case State::Idle:
-        if (age > m_handler.limits().idleTimeout)
+        if (age > m_handler.limits().idleTimeout && m_writer.backlog() == 0)
             close();
         break;
     case State::Reading:
--- a/src/traffic/callerconnection.h
+++ b/src/traffic/callerconnection.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <utility>
 
@@ -20,6 +21,16 @@
 
 class CallerConnection;
 
+/// Fields and body of a response; its status is known.
+struct ResponseContent
+{
+    std::vector<HttpField> fields;
+    std::string body;
+};
+
+/// `text` as a line of plain text.
+ResponseContent plainContent(std::string_view text);
+
 /// Takes the requests of callers' connections.
 class RequestHandler
 {
@@ -32,8 +43,15 @@
     virtual const CallerLimits &limits() const = 0;
     /// While true, each response closes its connection.
     virtual bool isStopping() const = 0;
-    /// A request that was refused while it was read.
-    virtual void onBadRequest(unsigned status, std::string_view reason) = 0;
+    /// A request that was refused while it was read. Returns what its caller is told.
+    virtual ResponseContent onBadRequest(unsigned status, std::string_view reason)
+    {
+        (void)status;
+        return plainContent(reason);
+    }
+    /// True if a caller that closed its sending side still gets its answer. It then looks the same
+    /// as one that has left, until a write fails.
+    virtual bool servesHalfClosed() const { return false; }
 };
 
 /// Hears what happens to the caller of a request that is under way.
@@ -71,8 +89,11 @@
     bool hasStarted() const { return m_responseStarted; }
     std::size_t backlog() const { return m_writer.backlog(); }
     bool isOpen() const { return m_isOpen; }
-    /// True between two requests, with nothing of the next one read.
-    bool isIdle() const { return m_state == State::Idle && m_unparsed.empty(); }
+    /// True between two requests, with the last answer taken and nothing of the next request read.
+    bool isIdle() const
+    {
+        return m_state == State::Idle && m_unparsed.empty() && m_writer.backlog() == 0;
+    }
     /// Closes an idle connection.
     void closeIdle();
     /// Applies the time limits. Returns false once the connection is closed.
@@ -92,6 +113,7 @@
     void refuse(unsigned status, std::string_view reason);
     void endRequest();
     void onDrained(bool written);
+    bool isWriteStalled(TimePoint now);
     void closeAfterWrite();
     void close();
     bool closesAfterResponse() const;
@@ -105,11 +127,14 @@
     std::optional<RequestParser> m_parser;
     CallerWatcher *m_watcher = nullptr;
     State m_state = State::Idle;
-    TimePoint m_now;        ///< Of the last sweep: fine enough for limits of seconds.
-    TimePoint m_stateSince; ///< When m_state began, by m_now.
+    TimePoint m_now;              ///< Of the last sweep: fine enough for limits of seconds.
+    TimePoint m_stateSince;       ///< When m_state began, by m_now.
+    TimePoint m_progressAt;       ///< Of the last sweep that saw the caller take bytes.
+    std::uint64_t m_progress = 0; ///< Of the writer at that time.
     bool m_isOpen = true;
     bool m_reading = false;
-    bool m_keepsAlive = true; ///< The caller asked for more requests on this connection.
+    bool m_halfClosed = false; ///< The caller sends nothing more; nothing more is read.
+    bool m_keepsAlive = true;  ///< The caller asked for more requests on this connection.
     bool m_isHead = false;
     bool m_responseStarted = false;
     bool m_chunked = false;       ///< The present response goes out in chunks.
--- a/src/traffic/httpcall.cpp
+++ b/src/traffic/httpcall.cpp
@@ -43,7 +43,7 @@
     void onBody(std::string_view bytes) override
     {
         if (m_answer.body.size() + bytes.size() > kMaxAnswerBytes) {
-            giveUp("the answer is too long");
+            giveUp("the answer is too long", true);
             return;
         }
         m_answer.body.append(bytes);
@@ -59,7 +59,8 @@
     void onBroken(BreakKind kind) override
     {
         m_connection = nullptr;
-        giveUp(kind == BreakKind::Closed ? "connection broke" : "no connection");
+        const bool wasSent = kind == BreakKind::Closed || kind == BreakKind::Malformed;
+        giveUp(wasSent ? "connection broke" : "no connection", wasSent);
     }
 
 private:
@@ -69,17 +70,18 @@
             std::chrono::duration_cast<std::chrono::steady_clock::duration>(timeout));
         m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
             if (!error)
-                self->giveUp("no answer in time");
+                self->giveUp("no answer in time",
+                             self->m_connection && self->m_connection->hasSent());
         });
     }
 
-    void giveUp(const char *problem)
+    void giveUp(const char *problem, bool wasSent)
     {
         if (!m_isRunning)
             return;
         if (m_connection)
             std::exchange(m_connection, nullptr)->drop();
-        m_answer = {0, {}, problem};
+        m_answer = {0, {}, problem, wasSent};
         end();
     }
 
--- a/src/traffic/httpcall.h
+++ b/src/traffic/httpcall.h
@@ -19,7 +19,8 @@
 {
     unsigned status = 0; ///< 0: no answer; it may have taken effect or not.
     std::string body;
-    std::string problem; ///< Why there is no answer.
+    std::string problem;  ///< Why there is no answer.
+    bool wasSent = false; ///< Without an answer: the call may have reached the server.
 };
 
 class HttpCaller
--- a/src/traffic/socketwriter.cpp
+++ b/src/traffic/socketwriter.cpp
@@ -33,6 +33,7 @@
         socket, boost::asio::buffer(m_sending),
         [this, &socket, owner](const boost::system::error_code &error, std::size_t) {
             m_sending = std::string();
+            ++m_progress;
             m_broken = m_broken || error;
             if (!m_broken && !m_waiting.empty()) {
                 sendWaiting(socket, owner);
--- a/src/traffic/socketwriter.h
+++ b/src/traffic/socketwriter.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -25,6 +26,8 @@
     bool isBroken() const { return m_broken; }
     /// Bytes that the socket has not taken yet.
     std::size_t backlog() const { return m_waiting.size() + m_sending.size(); }
+    /// Grows with each piece of the backlog that the socket took.
+    std::uint64_t progress() const { return m_progress; }
     /// Called after each write that emptied the backlog or failed, never from within write().
     void onDrained(Handler handler) { m_drained = std::move(handler); }
 
@@ -33,6 +36,7 @@
 
     std::string m_sending; ///< Handed to the socket; must not change until its handler runs.
     std::string m_waiting; ///< Follows m_sending.
+    std::uint64_t m_progress = 0;
     bool m_broken = false;
     Handler m_drained;
 };
--- a/tests/threaded/chatsendertest.cpp
+++ b/tests/threaded/chatsendertest.cpp
@@ -1,20 +1,56 @@
 // One sending of a chat, against an engine that answers, cuts, refuses or mixes up requests.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <condition_variable>
+#include <future>
+#include <mutex>
+#include <thread>
+
 #include <nlohmann/json.hpp>
 
 #include "common/httpserver.h"
 #include "daemon/backendclient.h"
-#include "daemon/chatsender.h"
 
 using namespace comfrey;
 
 namespace {
 
-class IgnoringSink : public EventSink
+/// Keeps what the client reports; waits for ends of attempts.
+class RecordingSink : public EventSink
+{
+public:
+    void post(Event event) override
+    {
+        const std::lock_guard lock(m_mutex);
+        if (auto *ended = std::get_if<AttemptEnded>(&event))
+            m_ended.push_back(std::move(*ended));
+        m_changed.notify_all();
+    }
+
+    AttemptEnded take()
+    {
+        std::unique_lock lock(m_mutex);
+        const bool came =
+            m_changed.wait_for(lock, std::chrono::seconds(10), [this] { return !m_ended.empty(); });
+        CPPUNIT_ASSERT_MESSAGE("no end of the attempt was reported", came);
+        AttemptEnded ended = std::move(m_ended.front());
+        m_ended.erase(m_ended.begin());
+        return ended;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::vector<AttemptEnded> m_ended;
+};
+
+class JoiningListener : public ExchangeListener
 {
 public:
-    void post(Event /*event*/) override { }
+    void onToken(const std::string &token) override { text += token; }
+    void onEnd(const AnswerCaller &) override { }
+
+    std::string text;
 };
 
 /// How the engine of a test answers.
@@ -24,6 +60,8 @@
     Tokens cutBefore = 1000; ///< Position before which the connection is dropped.
     std::string answerId;    ///< Of another request, if set.
     bool refuses = false;
+    bool isSilent = false; ///< Answers only after `silence`.
+    std::chrono::milliseconds silence{1500};
 };
 
 class ScriptedEngine
@@ -48,6 +86,8 @@
             response.set_header("X-Not-Started", "1");
             return;
         }
+        if (m_script.isSilent)
+            std::this_thread::sleep_for(m_script.silence);
         const std::string own = request.get_header_value("X-Request-Id");
         const std::string id = m_script.answerId.empty() ? own : m_script.answerId;
         auto next = std::make_shared<Tokens>(std::stoul(request.get_header_value("X-Resume-At")));
@@ -96,6 +136,8 @@
     CPPUNIT_TEST(answerOfOtherRequestIsForeign);
     CPPUNIT_TEST(refusalIsUnstarted);
     CPPUNIT_TEST(absentEngineIsNotConnected);
+    CPPUNIT_TEST(cancelledAttemptEndsAtOnce);
+    CPPUNIT_TEST(silentEngineTimesOut);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -104,7 +146,7 @@
         const ScriptedEngine engine({});
         const AttemptEnded ended = send(engine.address(), 0);
         CPPUNIT_ASSERT(ended.how == AttemptEnd::Completed);
-        CPPUNIT_ASSERT_EQUAL(Tokens{6}, m_exchange->summaryOf(ended.attempt).completionTokens);
+        CPPUNIT_ASSERT_EQUAL(Tokens{6}, summaryOf(ended.attempt).completionTokens);
     }
 
     void answerResumedAtPositionIsCompleted()
@@ -114,10 +156,10 @@
         const ScriptedEngine first(cutting);
         CPPUNIT_ASSERT(send(first.address(), 0).how == AttemptEnd::BrokenInAnswer);
         const ScriptedEngine second({});
-        const AttemptEnded ended = send(second.address(), m_exchange->delivered());
+        const AttemptEnded ended = send(second.address(), delivered());
         CPPUNIT_ASSERT(ended.how == AttemptEnd::Completed);
         CPPUNIT_ASSERT_EQUAL(Tokens{2}, ended.tokens);
-        CPPUNIT_ASSERT_EQUAL(Tokens{6}, m_exchange->summaryOf(ended.attempt).completionTokens);
+        CPPUNIT_ASSERT_EQUAL(Tokens{6}, summaryOf(ended.attempt).completionTokens);
         CPPUNIT_ASSERT_EQUAL(std::string("012345"), deliveredText());
     }
 
@@ -136,7 +178,7 @@
         script.answerId = "other";
         const ScriptedEngine engine(script);
         CPPUNIT_ASSERT(send(engine.address(), 0).how == AttemptEnd::ForeignAnswer);
-        CPPUNIT_ASSERT_EQUAL(Tokens{0}, m_exchange->delivered());
+        CPPUNIT_ASSERT_EQUAL(Tokens{0}, delivered());
     }
 
     void refusalIsUnstarted()
@@ -152,16 +194,53 @@
         CPPUNIT_ASSERT(send(Endpoint("127.0.0.1:1"), 0).how == AttemptEnd::NotConnected);
     }
 
+    void cancelledAttemptEndsAtOnce()
+    {
+        EngineScript script;
+        script.isSilent = true;
+        const ScriptedEngine engine(script);
+        const auto begin = std::chrono::steady_clock::now();
+        m_client->send(orderTo(engine.address(), 0));
+        m_client->cancel(AttemptId(m_lastAttempt));
+        CPPUNIT_ASSERT(m_sink.take().how == AttemptEnd::Cancelled);
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < script.silence);
+    }
+
+    void silentEngineTimesOut()
+    {
+        EngineScript script;
+        script.isSilent = true;
+        const ScriptedEngine engine(script);
+        SendToBackend order = orderTo(engine.address(), 0);
+        order.timeout = milliseconds(200);
+        m_client->send(order);
+        CPPUNIT_ASSERT(m_sink.take().how == AttemptEnd::TimedOut);
+    }
+
     void setUp() override
     {
-        m_exchange = std::make_unique<Exchange>(
+        m_exchange = std::make_shared<Exchange>(
             RequestId("r-1"), CallerRequest{},
             ForwardedRequest{"POST", "/v1/chat/completions", "{}", "application/json"});
+        m_listener = JoiningListener();
+        m_exchange->listen(&m_listener);
+        m_loop = std::make_unique<TrafficLoop>();
+        m_exchanges.add(m_exchange);
+        m_client = std::make_unique<BackendClient>(*m_loop, m_exchanges, m_sink, m_clock);
+        m_loop->start();
         m_lastAttempt = 0;
     }
 
+    void tearDown() override
+    {
+        m_loop->stop();
+        m_client.reset();
+        m_exchanges.remove(m_exchange->request());
+        m_loop.reset();
+    }
+
 private:
-    AttemptEnded send(const Endpoint &address, Tokens resumeAt)
+    SendToBackend orderTo(const Endpoint &address, Tokens resumeAt)
     {
         SendToBackend order;
         order.attempt = AttemptId(++m_lastAttempt);
@@ -169,23 +248,45 @@
         order.address = address;
         order.resumeAt = resumeAt;
         order.timeout = milliseconds(10000);
-        RunningAttempt running;
-        AttemptEnded ended = ChatSender(order, *m_exchange, running, m_clients, m_sink).run();
-        m_exchange->release(order.attempt);
-        return ended;
+        return order;
+    }
+
+    AttemptEnded send(const Endpoint &address, Tokens resumeAt)
+    {
+        m_client->send(orderTo(address, resumeAt));
+        return m_sink.take();
+    }
+
+    /// Runs `reader` on the loop, where the exchange lives.
+    template<typename Reader>
+    auto onLoop(Reader reader)
+    {
+        std::promise<decltype(reader())> promise;
+        auto result = promise.get_future();
+        m_loop->post([&promise, &reader] { promise.set_value(reader()); });
+        return result.get();
     }
 
     std::string deliveredText()
     {
-        std::string text;
-        for (const std::string &token : m_exchange->next(std::chrono::milliseconds(0)).tokens)
-            text += token;
-        return text;
+        return onLoop([this] { return m_listener.text; });
+    }
+    Tokens delivered()
+    {
+        return onLoop([this] { return m_exchange->delivered(); });
+    }
+    AttemptSummary summaryOf(AttemptId attempt)
+    {
+        return onLoop([this, attempt] { return m_exchange->summaryOf(attempt); });
     }
 
-    HttpClientPool m_clients{HttpClientOptions()};
-    IgnoringSink m_sink;
-    std::unique_ptr<Exchange> m_exchange;
+    ProcessClock m_clock;
+    std::unique_ptr<TrafficLoop> m_loop;
+    ExchangeTable m_exchanges;
+    RecordingSink m_sink;
+    JoiningListener m_listener;
+    std::shared_ptr<Exchange> m_exchange;
+    std::unique_ptr<BackendClient> m_client;
     std::uint64_t m_lastAttempt = 0;
 };
 
--- a/tests/traffic/storetest.cpp
+++ b/tests/traffic/storetest.cpp
@@ -144,7 +144,6 @@
             }
             const CallerLimits &limits() const override { return link->limits(); }
             bool isStopping() const override { return false; }
-            void onBadRequest(unsigned, std::string_view) override { }
             FleetLink *link = nullptr;
             TimePoint servesFrom = TimePoint::min();
         };
