--- a/src/gateway/fleetlink.cpp
+++ b/src/gateway/fleetlink.cpp
@@ -12,9 +12,17 @@
 
 const std::string kRouterTopic = "~routers"; ///< Known to routers only; never in the store.
 
+/// Topics that routers know from each other only.
+bool isLocal(const std::string &topic)
+{
+    return !topic.empty() && topic.front() == '~' && topic != kRouterTopic;
+}
+
 constexpr Duration kAskMargin = milliseconds(400); ///< For an answer after it was held.
 constexpr Duration kExchangePause =
     milliseconds(300); // bytes between zones cost; the load of a server changes in about a second
+/// Routers of each other zone that a router hears of: enough to find one that is there.
+constexpr std::size_t kToldOfOtherZones = 8;
 constexpr Duration kSeedPause = milliseconds(100);
 constexpr Duration kSeedRepeat = milliseconds(1000);
 constexpr Duration kSeedTime =
@@ -30,6 +38,9 @@
     milliseconds(1000); ///< Under the time for which told requests count.
 constexpr std::int64_t kAnswerBytesPerSecond =
     500000; ///< That the asked router of a zone sends: 4 Mbit/s.
+/// Percent of an ask's hold time in which requests that were told count as told: answers with news
+/// come sooner.
+constexpr int kToldShare = 80;
 constexpr int kAsksPerSecond =
     100; ///< That the asked router of a zone gets: a fraction of its processor
 
@@ -214,20 +225,22 @@
     const auto first =
         m_directory.first(m_settings.self.zone, m_readsStore && m_store == StoreState::Fails, now);
     const bool isFirst = first && first->name == m_settings.self.name;
-    if (isFirst)
+    // The first router of a zone asks that of another one, so that one reads the store for all.
+    const auto leader = isFirst ? m_directory.firstElsewhere(now) : first;
+    if (!leader)
         m_followed.reset();
-    else if (first && (!m_followed || m_followed->address != first->address))
-        ask(*first, Purpose::Probe, now);
+    else if (!m_followed || m_followed->address != leader->address)
+        ask(*leader, Purpose::Probe, now);
     if (m_followed)
         ask(*m_followed, Purpose::Follow, now);
     const bool hasFreshNews = m_freshAt != TimePoint::min() && now - m_freshAt < kFollowLimit;
-    if (isFirst)
-        setReadsStore(true, now, "first of its zone");
+    if (isFirst && !leader)
+        setReadsStore(true, now, "no router goes before it");
     else if (!hasFreshNews && !(m_followed && now - m_followedSince < kFirstNewsLimit))
-        setReadsStore(true, now, "no router of its zone has fresh news");
+        setReadsStore(true, now, "no router that goes before it has fresh news");
     else if (m_followed && hasFreshNews)
         setReadsStore(false, now, "another router reads it");
-    if (m_readsStore && now >= m_exchangeAt)
+    if (isFirst && m_readsStore && now >= m_exchangeAt)
         exchange(now);
 }
 
@@ -246,7 +259,7 @@
 {
     m_exchangeAt = now + kExchangePause;
     for (const ZoneId &zone : m_directory.otherZones()) {
-        if (zone < m_settings.self.zone)
+        if (zone < m_settings.self.zone || m_digest.isFollowed(zone, now))
             continue; // It asks, and the ask tells it this zone's requests too.
         if (const auto router = m_directory.first(zone, false, now))
             ask(*router, Purpose::Exchange, now);
@@ -271,12 +284,18 @@
     news.source = position.source;
     news.since = position.number;
     news.standing = m_settings.self.standing;
-    const Duration hold = purpose == Purpose::Follow ? holdTime() : Duration(0);
+    news.noRecords = purpose == Purpose::Probe;
+    const bool isNeighbour = router.zone == m_settings.self.zone;
+    const Duration usualHold = isNeighbour ? holdTime() : kExchangePause;
+    const Duration hold = purpose == Purpose::Follow ? usualHold : Duration(0);
     news.holdMs = static_cast<std::uint32_t>(hold.count() / 1000);
     if (purpose == Purpose::Follow)
-        news.requests = toWire(m_listener.ownRequests());
+        news.records = localRecords(known);
+    const ServerRequests own = m_listener.ownRequests();
+    if (purpose == Purpose::Follow)
+        news.requests = toWire(isNeighbour ? own : m_digest.zoneTotal(own, now));
     else if (purpose == Purpose::Exchange)
-        news.requests = toWire(m_digest.zoneTotal(m_listener.ownRequests(), now));
+        news.requests = toWire(m_digest.treeTotal(own, now));
     HttpCaller::Call call;
     call.to = *endpoint;
     call.method = "POST";
@@ -285,7 +304,7 @@
     call.body = packed<wire::NewsAsk>(news);
     call.timeout = hold + kAskMargin;
     call.progressTimeout = kProgressLimit;
-    const bool wantsAll = !news.routersOnly;
+    const bool wantsAll = !news.routersOnly && !news.noRecords;
     m_caller.start(std::move(call), [this, router, purpose, wantsAll](const CallAnswer &answer) {
         onAnswer(router, purpose, wantsAll, answer);
     });
@@ -301,8 +320,9 @@
     if (news && purpose == Purpose::Follow && news->records.empty())
         m_answerBytes = static_cast<std::int64_t>(answer.body.size());
     if (news) {
-        takeRecords(router, hadAll, *news);
-        if (!news->leaving)
+        if (purpose != Purpose::Probe)
+            takeRecords(router, hadAll, *news);
+        if (!news->leaving && news->requestsTold)
             takeRequests(router, purpose, *news, now);
     }
     if (purpose == Purpose::Seed)
@@ -313,6 +333,8 @@
     } else {
         if (news && news->leaving)
             m_directory.onLeaving(router.name, now);
+        else if (news)
+            m_directory.onNotFresh(router.name, now);
         else
             m_directory.onFailed(router.name, now);
         if (isFollowed) {
@@ -361,13 +383,28 @@
     publish();
 }
 
+void FleetLink::takeLocalRecords(wire::NewsAskT &ask)
+{
+    bool changed = false;
+    for (const auto &wireRecord : ask.records) {
+        auto record = fromWire(*wireRecord, m_feed);
+        changed = (record && isLocal(record->topic) && m_feed.put(std::move(*record))) || changed;
+    }
+    if (!changed)
+        return;
+    m_listener.onFeedChanged();
+    publish();
+}
+
 void FleetLink::takeRequests(const KnownRouter &router, Purpose purpose,
                              const wire::NewsAnswerT &news, TimePoint now)
 {
     if (purpose == Purpose::Exchange)
-        m_digest.setZone(router.zone, fromWire(news.requests), now);
-    else if (purpose == Purpose::Follow)
+        m_digest.setZone(router.zone, ZoneSource::Peer, fromWire(news.requests), now);
+    else if (purpose == Purpose::Follow && router.zone == m_settings.self.zone)
         m_digest.setOthers(fromWire(news.requests), now);
+    else if (purpose == Purpose::Follow)
+        m_digest.setOutside(fromWire(news.requests), now);
     else
         return;
     m_listener.onOthersChanged();
@@ -387,14 +424,16 @@
     learnRouter(asker, ask->born);
     // Only a router that follows this one, or reads the store for another zone, tells requests.
     const bool isFollower = ask->holdMs > 0;
-    if (isFollower)
+    if (isFollower && asker.zone == m_settings.self.zone)
         m_digest.setRouter(asker.name, fromWire(ask->requests), now);
-    else if (!ask->requests.empty())
-        m_digest.setZone(asker.zone, fromWire(ask->requests), now);
+    else if (isFollower || !ask->requests.empty())
+        m_digest.setZone(asker.zone, isFollower ? ZoneSource::Follower : ZoneSource::Peer,
+                         fromWire(ask->requests), now);
     if (isFollower || !ask->requests.empty())
         m_listener.onOthersChanged();
     if (m_feed.number() != before)
         publish();
+    takeLocalRecords(*ask);
     const bool hasNews = ask->source != m_source || ask->since < m_feed.number();
     if (hasNews || ask->holdMs == 0 || m_stopping || !isFreshForOthers(now)) {
         answerAsk(*caller, *ask);
@@ -412,18 +451,60 @@
     news.number = m_feed.number();
     news.fresh = isFreshForOthers(now);
     news.leaving = m_stopping;
-    for (const FeedChange &change : m_feed.deltasSince(ask.source == m_source ? ask.since : 0)) {
-        if (!ask.routersOnly || change.record->topic == kRouterTopic)
-            news.records.push_back(toWire(change));
+    if (!ask.noRecords)
+        addRecords(news, ask);
+    const bool isFollower = ask.holdMs > 0;
+    const Duration pause = milliseconds(ask.holdMs) * kToldShare / 100;
+    TimePoint &toldAt = m_requestsToldAt.try_emplace(ask.router, TimePoint::min()).first->second;
+    if (toldAt == TimePoint::min() || now - toldAt >= pause) {
+        toldAt = now;
+        news.requestsTold = true;
+        const ServerRequests own = m_listener.ownRequests();
+        const ZoneId zone(ask.zone);
+        if (zone == m_settings.self.zone)
+            news.requests = toWire(m_digest.totalExcept(ask.router, own, now));
+        else
+            news.requests = toWire(isFollower ? m_digest.totalOutside(zone, own, now)
+                                              : m_digest.treeTotal(own, now));
     }
-    const ServerRequests own = m_listener.ownRequests();
-    const bool isNeighbour = ask.zone == m_settings.self.zone.value();
-    news.requests = toWire(isNeighbour ? m_digest.totalExcept(ask.router, own, now)
-                                       : m_digest.zoneTotal(own, now));
     caller.respond(200, {{"Content-Type", "application/octet-stream"}},
                    packed<wire::NewsAnswer>(news));
 }
 
+std::vector<std::unique_ptr<wire::NewsRecordT>> FleetLink::localRecords(Known &known)
+{
+    std::vector<std::unique_ptr<wire::NewsRecordT>> records;
+    for (const FeedChange &change : m_feed.since(std::exchange(known.told, m_feed.number()))) {
+        if (isLocal(change.record->topic))
+            records.push_back(toWire(change));
+    }
+    return records;
+}
+
+void FleetLink::addRecords(wire::NewsAnswerT &news, const wire::NewsAskT &ask)
+{
+    for (const FeedChange &change : m_feed.deltasSince(ask.source == m_source ? ask.since : 0)) {
+        if (change.record->topic == kRouterTopic) {
+            const auto router = change.record->value ? routerOf(*change.record) : std::nullopt;
+            if (router && router->zone.value() != ask.zone
+                && m_directory.rankOf(*router) >= kToldOfOtherZones)
+                continue;
+        } else if (ask.routersOnly) {
+            continue;
+        }
+        news.records.push_back(toWire(change));
+    }
+}
+
+void FleetLink::setStoreWorks(bool works)
+{
+    const bool stopsServing = !works && m_store == StoreState::Works;
+    m_store = works ? StoreState::Works : StoreState::Fails;
+    // Who relies on this router is to look elsewhere at once.
+    if (stopsServing)
+        publish();
+}
+
 void FleetLink::publish()
 {
     std::list<Waiting> waiting = std::exchange(m_waiting, {});
--- a/src/gateway/fleetlink.h
+++ b/src/gateway/fleetlink.h
@@ -1,6 +1,7 @@
 // Keeps this router up to date through other routers, so that few of them read the platform's
-// store: it asks the first router of its zone, or reads the store itself if it is the first or
-// nobody has fresh news. Routers that read the store also exchange with the other zones.
+// store: it asks the first router of its zone, and that one asks the first of all zones. A router
+// that has nobody to ask, or hears no fresh news, reads the store itself and exchanges requests
+// with the zones that do not ask it.
 #pragma once
 
 #include <functional>
@@ -55,7 +56,7 @@
     /// From now on other routers are told to ask somebody else.
     void stop();
     /// Whether reads of the store succeed, while this router reads it.
-    void setStoreWorks(bool works) { m_store = works ? StoreState::Works : StoreState::Fails; }
+    void setStoreWorks(bool works);
 
     /// True while this router is to read the store itself.
     bool readsStore() const { return m_readsStore; }
@@ -97,9 +98,11 @@
     void onAnswer(const KnownRouter &router, Purpose purpose, bool hadAll,
                   const CallAnswer &answer);
     void takeRecords(const KnownRouter &router, bool hadAll, wire::NewsAnswerT &news);
+    void takeLocalRecords(wire::NewsAskT &ask);
     void takeRequests(const KnownRouter &router, Purpose purpose, const wire::NewsAnswerT &news,
                       TimePoint now);
     void answerAsk(CallerConnection &caller, const wire::NewsAskT &ask);
+    void addRecords(wire::NewsAnswerT &news, const wire::NewsAskT &ask);
     void learnRouter(const KnownRouter &router, std::uint64_t born);
     void decide(TimePoint now);
     void setReadsStore(bool reads, TimePoint now, std::string_view why);
@@ -116,11 +119,15 @@
     /// What another router told.
     struct Known
     {
-        Position all;         ///< Of records of all topics.
-        Position routers;     ///< Of records of routers.
-        bool isAsked = false; ///< An answer is outstanding.
+        Position all;           ///< Of records of all topics.
+        Position routers;       ///< Of records of routers.
+        std::uint64_t told = 0; ///< This router's last change that it was told of with an ask.
+        bool isAsked = false;   ///< An answer is outstanding.
     };
 
+    /// Records of local topics that the other router has not been told of.
+    std::vector<std::unique_ptr<wire::NewsRecordT>> localRecords(Known &known);
+
     HttpCaller &m_caller;
     RecordFeed &m_feed;
     EventLog &m_log;
@@ -131,7 +138,8 @@
     RouterDirectory m_directory;
     LoadDigest m_digest;
     std::list<Waiting> m_waiting;
-    std::map<std::string, Known> m_known; ///< By address.
+    std::map<std::string, Known> m_known;              ///< By address.
+    std::map<std::string, TimePoint> m_requestsToldAt; ///< By name of the asking router.
     std::optional<KnownRouter>
         m_followed;         ///< None while this router reads the store or has nobody to ask.
     std::uint64_t m_source; ///< This start, in own microseconds.
--- a/src/routers/loaddigest.h
+++ b/src/routers/loaddigest.h
@@ -15,19 +15,33 @@
 /// Requests by the hash of the backend server's incarnation.
 using ServerRequests = std::unordered_map<std::uint32_t, std::uint32_t>;
 
+/// How the sum of another zone came here.
+enum class ZoneSource : std::uint8_t {
+    Follower, ///< Its first router asks this one for news: nobody else tells of that zone.
+    Peer,     ///< Its first router reads the store too, and may have told others as well.
+};
+
 class LoadDigest
 {
 public:
     void setRouter(const std::string &router, ServerRequests requests, TimePoint now);
-    void setZone(const ZoneId &zone, ServerRequests requests, TimePoint now);
-    /// All others', as the router that is asked for news told them.
+    void setZone(const ZoneId &zone, ZoneSource source, ServerRequests requests, TimePoint now);
+    /// All others', as the router of this zone that is asked for news told them.
     void setOthers(ServerRequests requests, TimePoint now);
+    /// All outside of this zone, as the router of another zone that is asked for news told them.
+    void setOutside(ServerRequests requests, TimePoint now);
 
+    /// True while that zone's first router asks this one.
+    bool isFollowed(const ZoneId &zone, TimePoint now) const;
     /// Of this zone's routers that told theirs, and `own`.
     ServerRequests zoneTotal(const ServerRequests &own, TimePoint now) const;
+    /// The same and that of the zones that ask this router: what only it can tell.
+    ServerRequests treeTotal(const ServerRequests &own, TimePoint now) const;
     /// Of all routers but one of this zone; that one's are left out.
     ServerRequests totalExcept(const std::string &router, const ServerRequests &own,
                                TimePoint now) const;
+    /// Of all routers outside of a zone.
+    ServerRequests totalOutside(const ZoneId &zone, const ServerRequests &own, TimePoint now) const;
     /// Of all routers but this one.
     ServerRequests others(TimePoint now) const;
 
@@ -39,11 +53,21 @@
     {
         ServerRequests requests;
         TimePoint at;
+        ZoneSource source = ZoneSource::Peer; ///< Of zones only.
     };
 
+    static bool isAlive(const Told &told, TimePoint now)
+    {
+        return told.at != TimePoint::min() && now - told.at <= kLife;
+    }
+    void addRouters(ServerRequests &sum, const std::string &except, TimePoint now) const;
+    void addFollowers(ServerRequests &sum, const ZoneId &except, TimePoint now) const;
+    void addPeers(ServerRequests &sum, const ZoneId &except, TimePoint now) const;
+
     std::map<std::string, Told> m_routers;
     std::map<ZoneId, Told> m_zones;
     Told m_others{{}, TimePoint::min()};
+    Told m_outside{{}, TimePoint::min()};
 };
 
 } // namespace comfrey
--- a/src/routers/routerdirectory.cpp
+++ b/src/routers/routerdirectory.cpp
@@ -12,7 +12,9 @@
 constexpr Duration kFirstPause = milliseconds(500);
 constexpr Duration kLongestPause =
     milliseconds(8000); // a replaced router never comes back, a restarted one in seconds
-constexpr Duration kLeavingPause = milliseconds(3000); // a restart takes longer
+constexpr Duration kNotFreshPause = milliseconds(150);    // a read of the store and its way here
+constexpr Duration kLongestNotFresh = milliseconds(2000); // most outages of a store last longer
+constexpr Duration kLeavingPause = milliseconds(3000);    // a restart takes longer
 
 } // namespace
 
@@ -53,10 +55,31 @@
     return std::nullopt;
 }
 
+std::optional<KnownRouter> RouterDirectory::firstElsewhere(TimePoint now) const
+{
+    std::optional<KnownRouter> best;
+    for (const auto &[zone, routers] : m_zones) {
+        if (zone == m_self.zone)
+            continue;
+        const auto router = first(zone, false, now);
+        if (router && precedesSelf(*router) && (!best || placeOf(*router) < placeOf(*best)))
+            best = router;
+    }
+    return best;
+}
+
 std::size_t RouterDirectory::ownRank() const
 {
-    const auto &zone = m_zones.at(m_self.zone);
-    return static_cast<std::size_t>(std::distance(zone.begin(), zone.find(placeOf(m_self))));
+    return rankOf(m_self);
+}
+
+std::size_t RouterDirectory::rankOf(const KnownRouter &router) const
+{
+    const auto found = m_zones.find(router.zone);
+    if (found == m_zones.end())
+        return 0;
+    const auto &zone = found->second;
+    return static_cast<std::size_t>(std::distance(zone.begin(), zone.lower_bound(placeOf(router))));
 }
 
 bool RouterDirectory::precedesSelf(const KnownRouter &router) const
@@ -96,6 +119,16 @@
     ++entry->failures;
 }
 
+void RouterDirectory::onNotFresh(const std::string &name, TimePoint now)
+{
+    Entry *entry = find(name);
+    if (!entry)
+        return;
+    entry->askAgainAt =
+        now + std::min(kLongestNotFresh, kNotFreshPause * (1U << std::min(entry->failures, 4U)));
+    ++entry->failures;
+}
+
 void RouterDirectory::onLeaving(const std::string &name, TimePoint now)
 {
     if (Entry *entry = find(name))
--- a/src/routers/routerdirectory.h
+++ b/src/routers/routerdirectory.h
@@ -35,6 +35,9 @@
     /// The first router of the zone that may be asked now; none if each of them failed lately.
     /// `selfFails`: this router can't read the store itself.
     std::optional<KnownRouter> first(const ZoneId &zone, bool selfFails, TimePoint now) const;
+    /// The first router of another zone that goes before this one in the order of all routers and
+    /// may be asked now; none if this one is to go first.
+    std::optional<KnownRouter> firstElsewhere(TimePoint now) const;
     /// The place of this router in its zone's order, from 0.
     std::size_t ownRank() const;
     /// True if the router comes before this one in its zone's order.
@@ -43,8 +46,12 @@
     std::vector<ZoneId> otherZones() const;
 
     void onGood(const std::string &name);
-    /// It did not answer, or had no fresh news. It is asked again after a pause that grows.
+    /// The place of a router in its zone's order, from 0.
+    std::size_t rankOf(const KnownRouter &router) const;
+    /// It did not answer. It is asked again after a pause that grows.
     void onFailed(const std::string &name, TimePoint now);
+    /// It answered, but is not up to date itself. It may be soon; the pause grows less.
+    void onNotFresh(const std::string &name, TimePoint now);
     /// It is about to stop.
     void onLeaving(const std::string &name, TimePoint now);
 
--- a/tests/routernewstest.cpp
+++ b/tests/routernewstest.cpp
@@ -41,6 +41,10 @@
     CPPUNIT_TEST(failedRouterIsPassedOverAndAskedAgainLater);
     CPPUNIT_TEST(requestsOfASilentRouterAreForgotten);
     CPPUNIT_TEST(requestsOfTheAskingRouterAreLeftOut);
+    CPPUNIT_TEST(requestsOfAPeerZoneAreNotToldOn);
+    CPPUNIT_TEST(requestsOfTheAskingZoneAreLeftOut);
+    CPPUNIT_TEST(firstRouterOfAllZonesIsTheSameForAll);
+    CPPUNIT_TEST(routerThatIsNotFreshIsAskedAgainSoon);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -159,7 +163,7 @@
     {
         LoadDigest digest;
         digest.setRouter("r1", {{7, 3}}, at(0));
-        digest.setZone(ZoneId("other"), {{7, 4}}, at(1000));
+        digest.setZone(ZoneId("other"), ZoneSource::Peer, {{7, 4}}, at(1000));
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(7), digest.others(at(1200))[7]);
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(4), digest.others(at(2000))[7]);
         CPPUNIT_ASSERT(digest.others(at(9000)).empty());
@@ -174,7 +178,75 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(9), digest.zoneTotal({{7, 1}}, at(0))[7]);
     }
 
+    void requestsOfAPeerZoneAreNotToldOn()
+    {
+        LoadDigest digest;
+        digest.setZone(ZoneId("follower"), ZoneSource::Follower, {{7, 2}}, at(0));
+        digest.setZone(ZoneId("peer"), ZoneSource::Peer, {{7, 4}}, at(0));
+        // To another peer, which hears of the first one itself.
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(3), digest.treeTotal({{7, 1}}, at(0))[7]);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(7), digest.totalExcept("r1", {{7, 1}}, at(0))[7]);
+        CPPUNIT_ASSERT(digest.isFollowed(ZoneId("follower"), at(0)));
+        CPPUNIT_ASSERT(!digest.isFollowed(ZoneId("peer"), at(0)));
+    }
+
+    void requestsOfTheAskingZoneAreLeftOut()
+    {
+        LoadDigest digest;
+        digest.setRouter("r1", {{7, 8}}, at(0));
+        digest.setZone(ZoneId("asking"), ZoneSource::Follower, {{7, 2}}, at(0));
+        digest.setZone(ZoneId("other"), ZoneSource::Follower, {{7, 4}}, at(0));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(13),
+                             digest.totalOutside(ZoneId("asking"), {{7, 1}}, at(0))[7]);
+        // What was told of the outside stands for what peers told.
+        LoadDigest asking;
+        asking.setZone(ZoneId("peer"), ZoneSource::Peer, {{7, 100}}, at(0));
+        asking.setOutside({{7, 13}}, at(0));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(13), asking.others(at(0))[7]);
+    }
+
+    void firstRouterOfAllZonesIsTheSameForAll()
+    {
+        const std::vector<KnownRouter> routers = {zoned("a1", "a", 1), zoned("a2", "a", 2),
+                                                  zoned("b1", "b", 0), zoned("b2", "b", 2),
+                                                  zoned("c1", "c", 2)};
+        for (const KnownRouter &self : routers) {
+            RouterDirectory directory(self);
+            for (const KnownRouter &router : routers)
+                directory.add(router);
+            const auto elsewhere = directory.firstElsewhere(at(0));
+            if (self.zone == ZoneId("b") && self.standing == 0)
+                CPPUNIT_ASSERT(!elsewhere);
+            if (self.name == "a1" || self.name == "c1")
+                CPPUNIT_ASSERT_EQUAL(std::string("b1"), elsewhere->name);
+        }
+        RouterDirectory directory(routers.back());
+        for (const KnownRouter &router : routers)
+            directory.add(router);
+        directory.onFailed("b1", at(0));
+        CPPUNIT_ASSERT_EQUAL(std::string("a1"), directory.firstElsewhere(at(100))->name);
+    }
+
+    void routerThatIsNotFreshIsAskedAgainSoon()
+    {
+        RouterDirectory directory(router("r1"));
+        directory.add(router("r4"));
+        directory.onNotFresh("r4", at(0));
+        CPPUNIT_ASSERT_EQUAL(std::string("r1"), directory.first(ZoneId("z"), false, at(100))->name);
+        CPPUNIT_ASSERT_EQUAL(std::string("r4"), directory.first(ZoneId("z"), false, at(200))->name);
+        for (int times = 0; times < 20; ++times)
+            directory.onNotFresh("r4", at(1000));
+        CPPUNIT_ASSERT_EQUAL(std::string("r4"),
+                             directory.first(ZoneId("z"), false, at(3100))->name);
+    }
+
 private:
+    static KnownRouter zoned(const std::string &name, const std::string &zone,
+                             std::uint8_t standing)
+    {
+        return {name, ZoneId(zone), "10.0.0.1:" + std::to_string(name.back()), standing};
+    }
+
     /// r4 alone is a strong instance.
     static KnownRouter router(const std::string &name)
     {
--- /dev/null
+++ b/tests/traffic/fleetlinktest.cpp
@@ -0,0 +1,232 @@
+// What routers tell each other over the network: who reads the store, its records, their requests.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+#include "linkedrouter.h"
+
+using namespace comfrey;
+using namespace comfrey::loopback;
+
+class FleetLinkTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FleetLinkTest);
+    CPPUNIT_TEST(oneRouterReadsTheStoreAndTheOthersHearOfIt);
+    CPPUNIT_TEST(nextRouterReadsWhenTheFirstOneStops);
+    CPPUNIT_TEST(routersLearnEachOthersRequests);
+    CPPUNIT_TEST(recordsThatComeWhileARouterIsOnlyProbedAreNotLost);
+    CPPUNIT_TEST(routersThatStartBeforeTheirSeedsFindEachOtherLater);
+    CPPUNIT_TEST(oneRouterReadsTheStoreForAllZones);
+    CPPUNIT_TEST(anotherZoneReadsWhenTheReaderFails);
+    CPPUNIT_TEST(requestsOfAllZonesAreCountedOnce);
+    CPPUNIT_TEST(crashThatAFollowerSawReachesAllZones);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void oneRouterReadsTheStoreAndTheOthersHearOfIt()
+    {
+        startRouters();
+        LinkedRouter &first = reader();
+        for (const auto &router : m_routers)
+            CPPUNIT_ASSERT_EQUAL(router.get() == &first, router->link().readsStore());
+        first.feed.put({"keyed.t", "a", std::string(9000, 'x') + "}1", 0});
+        first.link().publish();
+        CPPUNIT_ASSERT(runRouters([&] { return allHave(1); }));
+        first.feed.put({"keyed.t", "a", std::string(9000, 'x') + "}2", 4});
+        first.link().publish();
+        CPPUNIT_ASSERT(runRouters([&] { return allHave(5); }));
+        for (const auto &router : m_routers)
+            CPPUNIT_ASSERT(router->feed.find("keyed.t", "a")->value->ends_with("}2"));
+    }
+
+    void nextRouterReadsWhenTheFirstOneStops()
+    {
+        startRouters();
+        LinkedRouter &first = reader();
+        first.link().stop();
+        CPPUNIT_ASSERT(runRouters([&] {
+            return std::any_of(m_routers.begin(), m_routers.end(), [&](const auto &router) {
+                return router.get() != &first && router->link().readsStore();
+            });
+        }));
+    }
+
+    void routersLearnEachOthersRequests()
+    {
+        for (auto &requests : {1U, 2U, 4U})
+            m_own.push_back({{7, requests}});
+        startRouters();
+        CPPUNIT_ASSERT(runRouters([&] {
+            std::uint32_t own = 1;
+            for (const auto &router : m_routers) {
+                if (router->link().othersRequests(now())[7] != 7 - own)
+                    return false;
+                own *= 2;
+            }
+            return true;
+        }));
+    }
+
+    /// Bench: tsetseg-swarmline-grown scale-1. A router that follows another one probes the first
+    /// again; what the first learned meanwhile was taken for known.
+    void recordsThatComeWhileARouterIsOnlyProbedAreNotLost()
+    {
+        startRouters();
+        reader().feed.put({"keyed.t", "a", "1", 0});
+        reader().link().publish();
+        CPPUNIT_ASSERT(runRouters([&] { return allHave(1); }));
+        for (int round = 1; round < 6; ++round) {
+            // The first router's reads fail, so the others leave it, and work again, so they probe
+            // it.
+            m_failing = &reader();
+            CPPUNIT_ASSERT(runRouters([&] {
+                return !m_routers[0]->link().isFresh(now()) || m_routers[0]->link().readsStore()
+                    || m_routers[2]->link().readsStore();
+            }));
+            reader().feed.put(
+                {"keyed.t", "a", std::to_string(round), static_cast<std::uint64_t>(round)});
+            m_failing = nullptr;
+            CPPUNIT_ASSERT(
+                runRouters([&] { return allHave(static_cast<std::uint64_t>(round) + 1); }));
+        }
+    }
+
+    /// Bench: tsetseg-swarmline-grown trouble-1. After a loss of power all routers read the store
+    /// for good, since the seeds that they asked had not started yet.
+    void routersThatStartBeforeTheirSeedsFindEachOtherLater()
+    {
+        m_isFirstStart = false;
+        m_seedIsLate = true;
+        startRouters();
+    }
+
+    void oneRouterReadsTheStoreForAllZones()
+    {
+        startZones();
+        LinkedRouter &first = *m_routers.front();
+        first.feed.put({"keyed.t", "a", "1", 0});
+        first.link().publish();
+        CPPUNIT_ASSERT(runRouters([&] { return allHave(1); }));
+    }
+
+    void anotherZoneReadsWhenTheReaderFails()
+    {
+        startZones();
+        m_failing = m_routers.front().get();
+        CPPUNIT_ASSERT(runRouters([&] {
+            return std::all_of(m_routers.begin() + 2, m_routers.end(),
+                               [](const auto &router) { return router->link().isFresh(now()); })
+                && std::any_of(m_routers.begin() + 1, m_routers.end(),
+                               [](const auto &router) { return router->link().readsStore(); });
+        }));
+    }
+
+    void requestsOfAllZonesAreCountedOnce()
+    {
+        for (std::uint32_t requests = 1; requests <= 32; requests *= 2)
+            m_own.push_back({{7, requests}});
+        startZones();
+        const auto isRight = [&] {
+            std::uint32_t own = 1;
+            for (const auto &router : m_routers) {
+                if (router->link().othersRequests(now())[7] != 63 - own)
+                    return false;
+                own *= 2;
+            }
+            return true;
+        };
+        CPPUNIT_ASSERT(runRouters(isRight));
+    }
+
+    void crashThatAFollowerSawReachesAllZones()
+    {
+        startZones();
+        LinkedRouter &last = *m_routers.back();
+        last.feed.put({"~crashes", "request server", std::string(), 5});
+        last.link().publish();
+        CPPUNIT_ASSERT(runRouters([&] {
+            return std::all_of(m_routers.begin(), m_routers.end(), [](const auto &router) {
+                return router->feed.find("~crashes", "request server") != nullptr;
+            });
+        }));
+    }
+
+private:
+    /// Three routers that have found out who reads the store. Reads succeed at once.
+    void startRouters()
+    {
+        for (int index = 0; index < 3; ++index) {
+            const std::string seed =
+                m_routers.empty() ? std::string() : m_routers.front()->port.address;
+            m_routers.push_back(std::make_unique<LinkedRouter>(
+                m_loop, "r" + std::to_string(index), index == 1 ? 0 : 1, seed, m_isFirstStart));
+            if (!m_own.empty())
+                m_routers.back()->own = m_own[static_cast<std::size_t>(index)];
+        }
+        if (m_seedIsLate)
+            m_routers.front()->port.handler.servesFrom = now() + milliseconds(700);
+        CPPUNIT_ASSERT(runRouters([&] {
+            return m_routers[1]->link().readsStore() && !m_routers[0]->link().readsStore()
+                && !m_routers[2]->link().readsStore() && m_routers[0]->link().isFresh(now())
+                && m_routers[2]->link().isFresh(now());
+        }));
+    }
+
+    /// Two routers in each of three zones, the first of them strong; the very first one reads the
+    /// store for all.
+    void startZones()
+    {
+        for (int index = 0; index < 6; ++index) {
+            const std::string seed =
+                m_routers.empty() ? std::string() : m_routers.front()->port.address;
+            const int zone = index / 2;
+            const auto standing = static_cast<std::uint8_t>(index % 2 == 0 ? zone : 9);
+            m_routers.push_back(std::make_unique<LinkedRouter>(m_loop, "r" + std::to_string(index),
+                                                               standing, seed, true,
+                                                               "z" + std::to_string(zone)));
+            if (!m_own.empty())
+                m_routers.back()->own = m_own[static_cast<std::size_t>(index)];
+        }
+        CPPUNIT_ASSERT(runRouters([&] {
+            return m_routers.front()->link().readsStore()
+                && std::all_of(m_routers.begin() + 1, m_routers.end(), [](const auto &router) {
+                       return !router->link().readsStore() && router->link().isFresh(now());
+                   });
+        }));
+    }
+
+    bool runRouters(const std::function<bool()> &done)
+    {
+        TimePoint next = now();
+        return runUntil(m_loop, [&] {
+            if (now() >= next) {
+                next = now() + milliseconds(20);
+                for (const auto &router : m_routers) {
+                    if (router->link().readsStore())
+                        router->link().setStoreWorks(router.get() != m_failing);
+                    router->link().tick(now());
+                }
+            }
+            return done();
+        });
+    }
+
+    /// The strong one of them.
+    LinkedRouter &reader() { return *m_routers[1]; }
+
+    bool allHave(std::uint64_t nextOrder) const
+    {
+        return std::all_of(m_routers.begin(), m_routers.end(), [&](const auto &router) {
+            return router->feed.nextOrder("keyed.t") == nextOrder;
+        });
+    }
+
+    boost::asio::io_context m_loop{1};
+    std::vector<std::unique_ptr<LinkedRouter>> m_routers;
+    std::vector<ServerRequests> m_own;
+    bool m_isFirstStart = true;
+    bool m_seedIsLate = false;
+    const LinkedRouter *m_failing = nullptr; ///< Its reads of the store fail.
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetLinkTest);
--- /dev/null
+++ b/tests/traffic/linkedrouter.h
@@ -0,0 +1,80 @@
+// A router's link to other routers with its port on loopback, without callers and without a store.
+#pragma once
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <string>
+
+#include "gateway/fleetlink.h"
+#include "loopback.h"
+#include "traffic/callerlistener.h"
+
+namespace comfrey::loopback {
+
+class LinkedRouter : public FleetLinkListener
+{
+public:
+    LinkedRouter(boost::asio::io_context &loop, const std::string &name, std::uint8_t standing,
+                 const std::string &seed, bool isFirstStart, const std::string &zone = "z")
+        : log(-1), caller(loop, {milliseconds(500), milliseconds(1500), 16384}, now),
+          port(loop, *this, seed, name, zone, standing, isFirstStart)
+    { }
+
+    void onFeedChanged() override { ++changes; }
+    ServerRequests ownRequests() const override { return own; }
+    void onOthersChanged() override { }
+
+    /// Runs on the link's port: the link needs the port's address, and the port the link.
+    struct Port
+    {
+        Port(boost::asio::io_context &loop, LinkedRouter &router, const std::string &seed,
+             const std::string &name, const std::string &zone, std::uint8_t standing,
+             bool isFirstStart)
+            : listener(loop, handler, now, 100)
+        {
+            CPPUNIT_ASSERT(listener.listen("127.0.0.1:0"));
+            address = "127.0.0.1:" + std::to_string(listener.port());
+            link = std::make_unique<FleetLink>(
+                router.caller, router.feed, router.log, now,
+                FleetLinkSettings{{name, ZoneId(zone), address, standing},
+                                  {seed.empty() ? address : seed},
+                                  1,
+                                  isFirstStart},
+                router);
+            handler.link = link.get();
+        }
+
+        struct Handler : public RequestHandler
+        {
+            void onRequest(const std::shared_ptr<CallerConnection> &connection, HttpHead head,
+                           std::string body) override
+            {
+                if (now() < servesFrom)
+                    connection->abort();
+                else
+                    link->onRequest(connection, std::move(head), std::move(body));
+            }
+            const CallerLimits &limits() const override { return link->limits(); }
+            bool isStopping() const override { return false; }
+            FleetLink *link = nullptr;
+            TimePoint servesFrom = TimePoint::min();
+        };
+
+        Handler handler;
+        CallerListener listener;
+        std::string address;
+        std::unique_ptr<FleetLink> link;
+    };
+
+    FleetLink &link() { return *port.link; }
+
+    EventLog log;
+    RecordFeed feed;
+    ServerRequests own;
+    int changes = 0;
+    HttpCaller caller;
+    Port port;
+};
+
+} // namespace comfrey::loopback
