--- a/tests/traffic/storetest.cpp
+++ b/tests/traffic/storetest.cpp
@@ -47,8 +47,10 @@
     std::deque<std::pair<std::string, std::string>>
         history; ///< Key and value, from `firstKept` on.
     std::uint64_t firstKept = 0;
-    std::string newestItems; ///< JSON of the items that log-newest tells.
+    std::string newestItems;            ///< JSON of the items that log-newest tells.
+    std::vector<std::string> morePages; ///< Items of the pages after it.
     std::uint64_t newestEndTold = 0;
+    int refusedPage = 0; ///< The call of this number is refused, counted from 1.
     bool isSilent = false;
     int newestCalls = 0;
     int readCalls = 0;
@@ -64,9 +66,7 @@
         if (isSilent)
             return;
         if (isNewest) {
-            send(connection, 200,
-                 R"({"items":[)" + newestItems + R"(],"has_more":false,"end":)"
-                     + std::to_string(newestEndTold) + "}");
+            answerPage(connection, target);
             return;
         }
         const std::uint64_t from = std::stoull(target.substr(target.find("from=") + 5));
@@ -81,6 +81,23 @@
         send(connection, 200, body);
     }
 
+    /// A page follows the key that the one before ended with: "k1" the first, "k2" the second.
+    void answerPage(ServerConnection &connection, const std::string &target)
+    {
+        if (newestCalls == refusedPage) {
+            send(connection, 429, "");
+            return;
+        }
+        const std::size_t after = target.find("&after=k");
+        const std::size_t page =
+            after == std::string::npos ? 0 : std::stoul(target.substr(after + 8));
+        const std::string &items = page == 0 ? newestItems : morePages[page - 1];
+        send(connection, 200,
+             R"({"items":[)" + items + R"(],"has_more":)"
+                 + (page < morePages.size() ? "true" : "false") + R"(,"end":)"
+                 + std::to_string(newestEndTold) + "}");
+    }
+
     static void send(ServerConnection &connection, int status, const std::string &body)
     {
         connection.write("HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: "
@@ -106,6 +123,8 @@
     CPPUNIT_TEST_SUITE(StoreTest);
     CPPUNIT_TEST(newestRecordsAreReadAndThenEachNewOne);
     CPPUNIT_TEST(recordsAfterAnOldListAreNotMissed);
+    CPPUNIT_TEST(keyThatIsRemovedBetweenTwoPagesIsNotKept);
+    CPPUNIT_TEST(refusedPageIsAskedForAgainAndNotTheOnesBefore);
     CPPUNIT_TEST(cutHistoryIsMadeGoodByTheNewestRecords);
     CPPUNIT_TEST(silentReadIsGivenUpOnceAnotherReadFailed);
     CPPUNIT_TEST(routerWhoseNewsComeFromOthersGoesOnWhereTheyAre);
@@ -139,6 +158,33 @@
         }));
     }
 
+    /// The second page was made after the removal of a key that is on the first one.
+    void keyThatIsRemovedBetweenTwoPagesIsNotKept()
+    {
+        m_store.history = {{"k1", "1"}, {"k1", ""}, {"z", "2"}};
+        m_store.newestItems = R"({"key":"k1","value":"MQ==","offset":0})";
+        m_store.morePages = {R"({"key":"z","value":"Mg==","offset":2})"};
+        auto follower = followStore();
+        CPPUNIT_ASSERT(runUntil(m_loop, [&] {
+            const FeedRecord *first = m_feed.find("keyed.t", "k1");
+            const FeedRecord *last = m_feed.find("keyed.t", "z");
+            return first && !first->value && last && last->value;
+        }));
+    }
+
+    void refusedPageIsAskedForAgainAndNotTheOnesBefore()
+    {
+        m_store.firstKept = 3;
+        m_store.newestItems = R"({"key":"k1","value":"MQ==","offset":2})";
+        m_store.morePages = {R"({"key":"k2","value":"MQ==","offset":0})",
+                             R"({"key":"z","value":"Mg==","offset":1})"};
+        m_store.refusedPage = 2;
+        auto follower = followStore();
+        CPPUNIT_ASSERT(runUntil(m_loop, [&] { return m_feed.find("keyed.t", "z") != nullptr; }));
+        CPPUNIT_ASSERT(m_feed.find("keyed.t", "k1") && m_feed.find("keyed.t", "k2"));
+        CPPUNIT_ASSERT_EQUAL(4, m_store.newestCalls);
+    }
+
     void cutHistoryIsMadeGoodByTheNewestRecords()
     {
         m_store.history = {{"a", "1"}};
