Store: lost only where its reads fail, not where a router lost its leader

Change: the store counts as lost only if own reads fail or another router tells that it is in doubt (StoreWatch, store_in_doubt in the answers). A router that begins to read is not up to date before its first read, which is not held. Three requests on their way per server in place of two. StoreWatchTest, followersHearThatTheStoreIsInDoubt, followerThatReadsAgainIsNotUpToDateBeforeItsFirstRead.

--- a/src/dispatch/servicequeue.h
+++ b/src/dispatch/servicequeue.h
@@ -54,7 +54,7 @@
 {
 public:
     /// Requests over a server's slots: the next ones are on their way when a place becomes free.
-    static constexpr std::uint32_t kSpare = 2;
+    static constexpr std::uint32_t kSpare = 3;
 
     /// The servers that take work now.
     void setServers(const std::vector<QueueServer> &servers);
--- a/src/gateway/fleetlink.cpp
+++ b/src/gateway/fleetlink.cpp
@@ -296,6 +296,8 @@
     m_known[router.address].isAsked = false;
     auto news = answer.status == 200 ? unpacked<wire::NewsAnswer>(answer.body) : std::nullopt;
     const bool isUsable = news && news->fresh && !news->leaving;
+    if (news && news->storeInDoubt)
+        m_listener.onHeardStoreInDoubt();
     if (news && purpose == Purpose::Follow && news->records.empty())
         m_answerBytes = static_cast<std::int64_t>(answer.body.size());
     if (news) {
@@ -430,6 +432,7 @@
     news.number = m_feed.number();
     news.fresh = isFreshForOthers(now);
     news.leaving = m_stopping;
+    news.storeInDoubt = m_listener.isStoreInDoubt();
     if (!ask.noRecords)
         addRecords(news, ask);
     const bool isFollower = ask.holdMs > 0;
--- a/src/gateway/fleetlink.h
+++ b/src/gateway/fleetlink.h
@@ -30,6 +30,10 @@
     virtual void onFeedChanged() = 0;
     /// This router's own requests at each backend server.
     virtual ServerRequests ownRequests() const = 0;
+    /// True while records may be missing from the store since it is, or was, lost.
+    virtual bool isStoreInDoubt() const = 0;
+    /// Another router told so.
+    virtual void onHeardStoreInDoubt() = 0;
     /// Another router told how many requests the others have.
     virtual void onOthersChanged() = 0;
 };
@@ -58,6 +62,8 @@
     /// Whether reads of the store succeed, while this router reads it.
     void setStoreWorks(bool works);
 
+    /// True if this router reads the store itself, in vain.
+    bool ownReadsFail() const { return m_readsStore && m_store == StoreState::Fails; }
     /// True while this router is to read the store itself.
     bool readsStore() const { return m_readsStore; }
     /// True if what is known is up to date with the store.
--- /dev/null
+++ b/tests/storewatchtest.cpp
@@ -0,0 +1,72 @@
+// When a router takes the platform's store for lost.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "routers/storewatch.h"
+
+using namespace comfrey;
+
+namespace {
+
+TimePoint at(std::int64_t ms)
+{
+    return TimePoint(milliseconds(ms));
+}
+
+} // namespace
+
+class StoreWatchTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StoreWatchTest);
+    CPPUNIT_TEST(storeWhoseReadsFailIsLostAfterAWhile);
+    CPPUNIT_TEST(routerThatLostItsLeaderDoesNotTakeTheStoreForLost);
+    CPPUNIT_TEST(wordOfAnotherRouterCountsForAWhile);
+    CPPUNIT_TEST(storeIsInDoubtForAMomentAfterItIsBack);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void storeWhoseReadsFailIsLostAfterAWhile()
+    {
+        CPPUNIT_ASSERT(m_watch.update(false, true, at(0)) == StoreWatch::Change::None);
+        CPPUNIT_ASSERT(m_watch.update(false, true, at(900)) == StoreWatch::Change::None);
+        CPPUNIT_ASSERT(m_watch.update(false, true, at(1000)) == StoreWatch::Change::Lost);
+        CPPUNIT_ASSERT(m_watch.update(false, true, at(1100)) == StoreWatch::Change::None);
+        CPPUNIT_ASSERT(m_watch.update(true, false, at(1200)) == StoreWatch::Change::Back);
+        CPPUNIT_ASSERT(!m_watch.isLost());
+    }
+
+    /// Bench: tsetseg-swarmline-grown scale-1. The routers before this one stopped one after
+    /// another; a server that left meanwhile was taken for one whose record had lapsed.
+    void routerThatLostItsLeaderDoesNotTakeTheStoreForLost()
+    {
+        for (std::int64_t ms = 0; ms < 3000; ms += 100)
+            CPPUNIT_ASSERT(m_watch.update(false, false, at(ms)) == StoreWatch::Change::None);
+        CPPUNIT_ASSERT(m_watch.update(true, false, at(3000)) == StoreWatch::Change::None);
+    }
+
+    void wordOfAnotherRouterCountsForAWhile()
+    {
+        m_watch.update(false, false, at(0));
+        m_watch.onHeardLost(at(500));
+        CPPUNIT_ASSERT(m_watch.update(false, false, at(1000)) == StoreWatch::Change::Lost);
+        StoreWatch late;
+        late.update(false, false, at(0));
+        late.onHeardLost(at(500));
+        CPPUNIT_ASSERT(late.update(false, false, at(2100)) == StoreWatch::Change::None);
+    }
+
+    void storeIsInDoubtForAMomentAfterItIsBack()
+    {
+        CPPUNIT_ASSERT(!m_watch.isInDoubt(at(0)));
+        m_watch.update(false, true, at(0));
+        m_watch.update(false, true, at(1000));
+        CPPUNIT_ASSERT(m_watch.isInDoubt(at(1000)));
+        m_watch.update(true, false, at(1500));
+        CPPUNIT_ASSERT(m_watch.isInDoubt(at(3400)));
+        CPPUNIT_ASSERT(!m_watch.isInDoubt(at(3600)));
+    }
+
+private:
+    StoreWatch m_watch;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreWatchTest);
--- a/tests/traffic/fleetlinktest.cpp
+++ b/tests/traffic/fleetlinktest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(anotherZoneReadsWhenTheReaderFails);
     CPPUNIT_TEST(requestsOfAllZonesAreCountedOnce);
     CPPUNIT_TEST(crashThatAFollowerSawReachesAllZones);
+    CPPUNIT_TEST(followersHearThatTheStoreIsInDoubt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -151,6 +152,15 @@
         }));
     }
 
+    void followersHearThatTheStoreIsInDoubt()
+    {
+        startRouters();
+        CPPUNIT_ASSERT_EQUAL(0, m_routers[0]->heardInDoubt);
+        reader().isInDoubt = true;
+        CPPUNIT_ASSERT(runRouters(
+            [&] { return m_routers[0]->heardInDoubt > 0 && m_routers[2]->heardInDoubt > 0; }));
+    }
+
 private:
     /// Three routers that have found out who reads the store. Reads succeed at once.
     void startRouters()
--- a/tests/traffic/linkedrouter.h
+++ b/tests/traffic/linkedrouter.h
@@ -24,6 +24,8 @@
     void onFeedChanged() override { ++changes; }
     ServerRequests ownRequests() const override { return own; }
     void onOthersChanged() override { }
+    bool isStoreInDoubt() const override { return isInDoubt; }
+    void onHeardStoreInDoubt() override { ++heardInDoubt; }
 
     /// Runs on the link's port: the link needs the port's address, and the port the link.
     struct Port
@@ -73,6 +75,8 @@
     RecordFeed feed;
     ServerRequests own;
     int changes = 0;
+    bool isInDoubt = false;
+    int heardInDoubt = 0;
     HttpCaller caller;
     Port port;
 };
--- a/tests/traffic/storetest.cpp
+++ b/tests/traffic/storetest.cpp
@@ -123,6 +123,7 @@
     CPPUNIT_TEST_SUITE(StoreTest);
     CPPUNIT_TEST(newestRecordsAreReadAndThenEachNewOne);
     CPPUNIT_TEST(recordsAfterAnOldListAreNotMissed);
+    CPPUNIT_TEST(followerThatReadsAgainIsNotUpToDateBeforeItsFirstRead);
     CPPUNIT_TEST(keyThatIsRemovedBetweenTwoPagesIsNotKept);
     CPPUNIT_TEST(refusedPageIsAskedForAgainAndNotTheOnesBefore);
     CPPUNIT_TEST(cutHistoryIsMadeGoodByTheNewestRecords);
@@ -158,6 +159,19 @@
         }));
     }
 
+    void followerThatReadsAgainIsNotUpToDateBeforeItsFirstRead()
+    {
+        m_store.history = {{"a", "1"}};
+        auto follower = followStore();
+        CPPUNIT_ASSERT(runUntil(m_loop, [&] { return follower->isUpToDate(); }));
+        follower->setActive(false);
+        m_store.history.push_back({"a", "2"});
+        follower->setActive(true);
+        CPPUNIT_ASSERT(!follower->isUpToDate());
+        CPPUNIT_ASSERT(runUntil(m_loop, [&] { return follower->isUpToDate(); }));
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), *m_feed.find("keyed.t", "a")->value);
+    }
+
     /// The second page was made after the removal of a key that is on the first one.
     void keyThatIsRemovedBetweenTwoPagesIsNotKept()
     {
