Soak: paths that fail, clocks that jump, callers that leave, prompts

Cause: the soak had no network faults, no clock faults, no prompts, and did not see a router that goes on with work for callers that left. Change: a loopback proxy before the store (one for each router) and before each server delays, resets, cuts one way or keeps silent; a preloaded library moves a router's time of day; streams carry prompts that must arrive unchanged; one request in twelve is left by its caller and must end at its server within half a second.

--- a/tests/soak/routerprocess.cpp
+++ b/tests/soak/routerprocess.cpp
@@ -50,10 +50,17 @@
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
     ::setenv("COMFREYLANDING_SETTINGS", path.c_str(), 1);
+    ::setenv("SOAK_CLOCK", clockPath().c_str(), 1);
+    ::setenv("LD_PRELOAD", SHIFT_CLOCK, 1);
     ::execl(ROUTER_PROGRAM, ROUTER_PROGRAM, nullptr);
     ::_exit(127);
 }
 
+void RouterProcess::shiftClock(int seconds)
+{
+    std::ofstream(clockPath()) << seconds;
+}
+
 void RouterProcess::signal(int number)
 {
     if (m_pid > 0)
--- a/tests/soak/routerprocess.h
+++ b/tests/soak/routerprocess.h
@@ -20,6 +20,8 @@
 
     void start(bool isFirstStart);
     void signal(int number);
+    /// Moves its time of day from the true time.
+    void shiftClock(int seconds);
     /// True if the process has ended since the last look.
     bool hasEnded();
 
@@ -38,6 +40,7 @@
 
 private:
     boost::asio::ip::tcp::endpoint endpoint(std::uint16_t port) const;
+    std::string clockPath() const { return m_folder + "/" + name() + ".clock"; }
     std::string ip() const { return "127.0.1." + std::to_string(m_index + 1); }
 
     int m_index;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -22,6 +22,9 @@
 constexpr Duration kSettle =
     milliseconds(3500); ///< After a fault, until a router counts as undisturbed.
 constexpr Duration kCalmPhase = milliseconds(3000);
+constexpr std::uint64_t kLeaverEvery = 12;
+constexpr Duration kLeaveLimit =
+    milliseconds(500); ///< From a caller's leaving to the end of the work for it.
 constexpr Duration kApplyLimit = milliseconds(2000); ///< For configurations and leaving servers.
 
 std::string routeJson(const std::string &name, const std::string &kind, int attempts,
@@ -74,8 +77,9 @@
         m_store.append("keyed.servers", m_servers.back()->id(), m_servers.back()->record(false));
     }
     for (std::size_t index = 0; index < kRouters; ++index) {
-        m_routers.push_back(std::make_unique<RouterProcess>(static_cast<int>(index),
-                                                            m_settings.folder, m_store.address()));
+        m_storePaths.push_back(std::make_unique<FaultyPath>(m_loop, m_store.address()));
+        m_routers.push_back(std::make_unique<RouterProcess>(
+            static_cast<int>(index), m_settings.folder, m_storePaths.back()->address()));
         m_routers.back()->start(true);
     }
 }
@@ -95,7 +99,10 @@
         }
         if (present < m_end && present >= nextCall) {
             nextCall = present + kCallPause;
-            sendCall();
+            if (m_ids % kLeaverEvery == 0)
+                sendLeaver();
+            else
+                sendCall();
         }
         while (!m_later.empty() && m_later.begin()->first <= present) {
             const auto action = std::move(m_later.begin()->second);
@@ -115,7 +122,7 @@
 {
     // First only planned work, whose limits hold then: servers leave and configurations change.
     const bool isCalm = now() < m_end - m_settings.length + kCalmPhase;
-    switch (isCalm ? 3 + pick(2) : pick(5)) {
+    switch (isCalm ? 3 + pick(2) : pick(8)) {
     case 0:
         disturbRouter();
         break;
@@ -128,12 +135,48 @@
     case 3:
         changeConfig();
         break;
-    default:
+    case 4:
         replaceServer();
         break;
+    case 5:
+    case 6:
+        disturbPath();
+        break;
+    default:
+        disturbClock();
+        break;
     }
 }
 
+void Soak::disturbPath()
+{
+    const std::size_t router = pick(kRouters);
+    const bool isStorePath = pick(2) == 0;
+    FaultyPath &path =
+        isStorePath ? *m_storePaths[router] : m_servers[pick(m_servers.size())]->path();
+    if (path.fault() != PathFault::None)
+        return;
+    const PathFault faults[] = {PathFault::Slow, PathFault::Reset, PathFault::CutThere,
+                                PathFault::CutBack, PathFault::Silent};
+    path.setFault(faults[pick(5)]);
+    const auto length = milliseconds(500 + static_cast<std::int64_t>(pick(2500)));
+    // Whoever relies on the router that lost the store is out of touch for a moment as well.
+    if (isStorePath)
+        m_storeDisturbedUntil = std::max(m_storeDisturbedUntil, now() + length + kSettle);
+    else
+        m_pathDisturbedUntil = std::max(m_pathDisturbedUntil, now() + length + kSettle);
+    later(length, [&path] { path.setFault(PathFault::None); });
+}
+
+void Soak::disturbClock()
+{
+    RouterProcess &router = *m_routers[pick(kRouters)];
+    const int shifts[] = {-7200, -5, 3, 600};
+    router.shiftClock(shifts[pick(4)]);
+    later(milliseconds(1000 + static_cast<std::int64_t>(pick(3000))),
+          [&router] { router.shiftClock(0); });
+}
+
 void Soak::disturbRouter()
 {
     RouterProcess &router = *m_routers[pick(kRouters)];
@@ -239,11 +282,40 @@
     if (kind == 0 || kind == 2)
         m_once.insert(call.id);
     call.caller = std::make_shared<RawCaller>(m_loop, router.callerEndpoint());
-    call.caller->send("GET " + call.path + "x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: "
-                      + call.id + "\r\nX-Deadline-Ms: 5000\r\n\r\n");
+    std::string head = "GET " + call.path + "x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: "
+        + call.id + "\r\nX-Deadline-Ms: 5000\r\n";
+    if (kind >= 2)
+        head += "X-Model: m\r\nX-Token-Usage: 1030,20\r\nX-Prompt-Prefix: "
+            + StandInServer::promptOf(call.id) + "\r\n";
+    call.caller->send(head + "\r\n");
     m_calls.push_back(std::move(call));
 }
 
+void Soak::sendLeaver()
+{
+    const std::string id = "q" + std::to_string(++m_ids);
+    RouterProcess &router = *m_routers[pick(kRouters)];
+    if (!router.isRunning() || router.isStopping || now() < router.disturbedUntil)
+        return;
+    const int start = router.starts();
+    auto caller = std::make_shared<RawCaller>(m_loop, router.callerEndpoint());
+    caller->send("GET /again/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + id
+                 + "\r\nX-Hold-Answer: 1\r\nX-Deadline-Ms: 5000\r\n\r\n");
+    later(milliseconds(100), [caller] { caller->close(); });
+    later(milliseconds(100) + kLeaveLimit, [this, id, &router, start] {
+        const bool isJudged = router.starts() == start && router.isRunning() && !router.isPaused
+            && now() > router.disturbedUntil && now() > m_pathDisturbedUntil;
+        for (const auto &server : m_servers) {
+            if (!server->holds(id))
+                continue;
+            m_leavers += server->isGivenUp(id) ? 1 : 0;
+            if (isJudged && !server->isGivenUp(id))
+                broken(id + " is still at work at " + server->id() + " though its caller left "
+                       + router.name());
+        }
+    });
+}
+
 void Soak::look()
 {
     for (const auto &router : m_routers) {
@@ -311,6 +383,8 @@
 {
     std::map<std::string, int> runs;
     for (const auto &server : m_servers) {
+        for (const std::string &wrong : server->wrongPrompts())
+            broken(wrong);
         for (const auto &[id, count] : server->runs())
             runs[id] += count;
     }
@@ -344,9 +418,10 @@
 std::string Soak::summary() const
 {
     return std::to_string(m_answered) + " answered, " + std::to_string(m_told)
-        + " told of a failure, " + std::to_string(m_cut) + " cut, " + std::to_string(m_version)
-        + " configurations, " + std::to_string(m_servers.size()) + " servers, "
-        + std::to_string(m_store.callCount()) + " calls to the store";
+        + " told of a failure, " + std::to_string(m_cut) + " cut, " + std::to_string(m_leavers)
+        + " left in time, " + std::to_string(m_version) + " configurations, "
+        + std::to_string(m_servers.size()) + " servers, " + std::to_string(m_store.callCount())
+        + " calls to the store";
 }
 
 } // namespace comfrey::soak
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "faultypath.h"
 #include "loopback.h"
 #include "routerprocess.h"
 #include "standinserver.h"
@@ -53,10 +54,14 @@
     void disturbRouter();
     void disturbStore();
     void disturbServers();
+    void disturbPath();
+    void disturbClock();
     void changeConfig();
     void replaceServer();
     void look();
     void sendCall();
+    /// A caller that leaves while its request runs: the server is to be told within half a second.
+    void sendLeaver();
     void checkCall(Call &call, const loopback::RawCaller::Response &response);
     void checkUnanswered(Call &call);
     void checkRuns();
@@ -70,6 +75,7 @@
     std::mt19937_64 m_random;
     boost::asio::io_context m_loop{1};
     StandInStore m_store;
+    std::vector<std::unique_ptr<FaultyPath>> m_storePaths; ///< Of each router.
     std::vector<std::unique_ptr<StandInServer>> m_servers; ///< Also those that have left.
     std::set<std::string> m_leftServers;
     std::vector<std::unique_ptr<RouterProcess>> m_routers;
@@ -80,12 +86,14 @@
     std::vector<std::string> m_broken;
     std::uint64_t m_version = 0;
     TimePoint m_storeDisturbedUntil = TimePoint::min();
+    TimePoint m_pathDisturbedUntil = TimePoint::min(); ///< To some server.
     TimePoint m_versionAt;
     TimePoint m_end;
     std::uint64_t m_ids = 0;
     std::size_t m_answered = 0;
     std::size_t m_told = 0; ///< Answered with a failure or a refusal.
     std::size_t m_cut = 0;
+    std::size_t m_leavers = 0; ///< Whose server was seen to be told.
 };
 
 } // namespace comfrey::soak
--- a/tests/soak/standinserver.cpp
+++ b/tests/soak/standinserver.cpp
@@ -29,12 +29,29 @@
       m_server(loop,
                [this](ServerConnection &connection, const ServerConnection::Request &request) {
                    onRequest(connection, request);
-               })
+               }),
+      m_path(loop, m_server.address())
 { }
 
+bool StandInServer::isGivenUp(const std::string &requestId) const
+{
+    const auto found = m_held.find(requestId);
+    if (found == m_held.end())
+        return false;
+    const auto connection = found->second.lock();
+    return !connection || connection->isClosedByPeer();
+}
+
+std::string StandInServer::promptOf(const std::string &requestId)
+{
+    // Ten shared parts; the last part is the request's own.
+    const std::size_t number = std::stoul(requestId.substr(1));
+    return "aa:100,b" + std::to_string(number % 10) + ":900,c" + std::to_string(number) + ":30";
+}
+
 std::string StandInServer::record(bool isDraining)
 {
-    return R"({"service":"s","address":")" + m_server.address()
+    return R"({"service":"s","address":")" + m_path.address()
         + R"(","zone":"z0","version":"v1","slots":16,"state":")"
         + (isDraining ? "draining" : "ready") + R"(","seq":)" + std::to_string(++m_sequence)
         + R"(,"born":1})";
@@ -68,6 +85,13 @@
     }
     ++m_runs[id];
     m_lastRun = loopback::now();
+    const std::string prompt(request.head.valueOf("X-Prompt-Prefix"));
+    if (request.head.target.find("/stream") != std::string::npos && prompt != promptOf(id))
+        m_wrongPrompts.push_back(id + " came with prompt \"" + prompt + '"');
+    if (request.head.count("X-Hold-Answer") > 0) {
+        m_held[id] = connection.weak_from_this();
+        return;
+    }
     if (happens(faults.mute))
         return;
     if (happens(faults.resetAfterRun)) {
--- a/tests/soak/standinserver.h
+++ b/tests/soak/standinserver.h
@@ -4,7 +4,9 @@
 #include <map>
 #include <random>
 #include <string>
+#include <vector>
 
+#include "faultypath.h"
 #include "loopback.h"
 
 namespace comfrey::soak {
@@ -24,6 +26,9 @@
 public:
     StandInServer(boost::asio::io_context &loop, std::string id, std::mt19937_64 &random);
 
+    /// The way on which routers reach the server.
+    FaultyPath &path() { return m_path; }
+
     const std::string &id() const { return m_id; }
     /// What the server says of itself, as the platform's list has it.
     std::string record(bool isDraining);
@@ -33,6 +38,14 @@
     const std::map<std::string, int> &runs() const { return m_runs; }
     /// When the last request came that the server ran.
     TimePoint lastRun() const { return m_lastRun; }
+    /// True if a request that the server holds without an answer has lost its connection; false if
+    /// it is still at work or never came here.
+    bool isGivenUp(const std::string &requestId) const;
+    bool holds(const std::string &requestId) const { return m_held.count(requestId) > 0; }
+    /// Prompts that came otherwise than their callers sent them, a line each.
+    const std::vector<std::string> &wrongPrompts() const { return m_wrongPrompts; }
+    /// The prompt of a request of the soak, as its callers send it.
+    static std::string promptOf(const std::string &requestId);
     /// The body of the answer to a request; a stream's pieces in a row.
     static std::string bodyOf(const std::string &requestId, bool isStream);
 
@@ -44,7 +57,10 @@
     std::string m_id;
     std::mt19937_64 &m_random;
     loopback::ScriptedServer m_server;
+    FaultyPath m_path;
     std::map<std::string, int> m_runs;
+    std::map<std::string, std::weak_ptr<loopback::ServerConnection>> m_held;
+    std::vector<std::string> m_wrongPrompts;
     TimePoint m_lastRun = TimePoint::min();
     int m_sequence = 0;
 };
