--- a/tests/servicequeuetest.cpp
+++ b/tests/servicequeuetest.cpp
@@ -215,7 +215,7 @@
 
 private:
     /// At two servers of two slots each.
-    static constexpr std::uint64_t kTaken = 2 * (2 + ServiceQueue::kSpare);
+    static constexpr std::uint64_t kTaken = 2U * (2U + std::uint64_t{ServiceQueue::kSpare});
 
     static void print(const char *name, const ServiceResult &result)
     {
--- a/tests/traffic/storetest.cpp
+++ b/tests/traffic/storetest.cpp
@@ -165,7 +165,7 @@
         auto follower = followStore();
         CPPUNIT_ASSERT(runUntil(m_loop, [&] { return follower->isUpToDate(); }));
         follower->setActive(false);
-        m_store.history.push_back({"a", "2"});
+        m_store.history.emplace_back("a", "2");
         follower->setActive(true);
         CPPUNIT_ASSERT(!follower->isUpToDate());
         CPPUNIT_ASSERT(runUntil(m_loop, [&] { return follower->isUpToDate(); }));
