--- a/src/daemon/eventsink.h
+++ b/src/daemon/eventsink.h
@@ -1,4 +1,5 @@
-// Where the traffic loop and the helper threads put what they saw; the control thread takes it from there.
+// Where the traffic loop and the helper threads put what they saw; the control thread takes it from
+// there.
 #pragma once
 
 #include "comfrey/events.h"
