Routers: not fresh for others before the first answer; crashes are told until they arrive

A router that had found another one up to date told others that it is fresh before it knew anything: the time of its last fresh news was TimePoint::min(), and the difference to it overflowed. Records of crashes counted as told when the ask was sent: one that was lost with a silent router was never told to it again. A probe used up the requests that the next answer should have told. A server that left the list and came back was taken for empty though its places were in use; a place granted to a request that had gone lapsed instead of being free. Change: one function for fresh news, with the check; told only with an answer, and anew to a router that started anew; probes leave the requests alone; the queue counts the places in use of a server that is listed again, and frees places nobody waits for.

--- a/src/dispatch/servicequeue.cpp
+++ b/src/dispatch/servicequeue.cpp
@@ -39,11 +39,20 @@
         Server &entry = present[server.hash];
         if (known != m_servers.end())
             entry = known->second;
+        else
+            entry.used = usedAt(server.hash);
         entry.slots = std::max(1U, server.slots);
     }
     m_servers = std::move(present);
 }
 
+std::uint32_t ServiceQueue::usedAt(std::uint32_t server) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(m_places.begin(), m_places.end(),
+                      [server](const auto &entry) { return entry.second.server == server; }));
+}
+
 bool ServiceQueue::withdraw(std::uint64_t wish)
 {
     return std::erase_if(m_waiting, [wish](const PlaceWish &waiting) { return waiting.id == wish; })
--- a/src/dispatch/servicequeue.h
+++ b/src/dispatch/servicequeue.h
@@ -90,6 +90,8 @@
 
     using Waiting = std::list<PlaceWish>;
 
+    /// Of a server that is listed again: its places may still be in use.
+    std::uint32_t usedAt(std::uint32_t server) const;
     void dropLapsed(TimePoint now);
     void refuseHopeless(TimePoint now, std::vector<PlaceDecision> &decisions);
     /// The wish to serve next of those that some server can take; the end if there is none.
--- a/src/gateway/fleetlink.cpp
+++ b/src/gateway/fleetlink.cpp
@@ -144,17 +144,21 @@
     m_directory.add(router);
 }
 
+bool FleetLink::hasFreshNews(TimePoint now) const
+{
+    return m_freshAt != TimePoint::min() && now - m_freshAt < kFollowLimit;
+}
+
 bool FleetLink::isFresh(TimePoint now) const
 {
-    return (m_readsStore && m_store == StoreState::Works)
-        || (m_freshAt != TimePoint::min() && now - m_freshAt < kFollowLimit);
+    return (m_readsStore && m_store == StoreState::Works) || hasFreshNews(now);
 }
 
 bool FleetLink::isFreshForOthers(TimePoint now) const
 {
     if (m_readsStore && m_store == StoreState::Works)
         return true;
-    return m_followed && m_directory.precedesSelf(*m_followed) && now - m_freshAt < kFollowLimit;
+    return m_followed && m_directory.precedesSelf(*m_followed) && hasFreshNews(now);
 }
 
 Duration FleetLink::holdTime() const
@@ -213,12 +217,12 @@
         ask(*leader, Purpose::Probe, now);
     if (m_followed)
         ask(*m_followed, Purpose::Follow, now);
-    const bool hasFreshNews = m_freshAt != TimePoint::min() && now - m_freshAt < kFollowLimit;
+    const bool isNewsFresh = hasFreshNews(now);
     if (isFirst && !leader)
         setReadsStore(true, now, "no router goes before it");
-    else if (!hasFreshNews && !(m_followed && now - m_followedSince < kFirstNewsLimit))
+    else if (!isNewsFresh && !(m_followed && now - m_followedSince < kFirstNewsLimit))
         setReadsStore(true, now, "no router that goes before it has fresh news");
-    else if (m_followed && hasFreshNews)
+    else if (m_followed && isNewsFresh)
         setReadsStore(false, now, "another router reads it");
     if (isFirst && m_readsStore && now >= m_exchangeAt)
         exchange(now);
@@ -270,7 +274,8 @@
     const Duration hold = purpose == Purpose::Follow ? usualHold : Duration(0);
     news.holdMs = static_cast<std::uint32_t>(hold.count() / 1000);
     if (purpose == Purpose::Follow)
-        news.records = localRecords(known);
+        news.records = localRecords(known.told);
+    const std::uint64_t telling = m_feed.number();
     const ServerRequests own = m_listener.ownRequests();
     if (purpose == Purpose::Follow)
         news.requests = toWire(isNeighbour ? own : m_digest.zoneTotal(own, now));
@@ -285,9 +290,13 @@
     call.timeout = hold + kAskMargin;
     call.progressTimeout = kProgressLimit;
     const bool wantsAll = !news.routersOnly && !news.noRecords;
-    m_caller.start(std::move(call), [this, router, purpose, wantsAll](const CallAnswer &answer) {
-        onAnswer(router, purpose, wantsAll, answer);
-    });
+    m_caller.start(std::move(call),
+                   [this, router, purpose, wantsAll, telling](const CallAnswer &answer) {
+                       // Records of an ask that may be lost are told again.
+                       if (purpose == Purpose::Follow && answer.status == 200)
+                           m_known[router.address].told = telling;
+                       onAnswer(router, purpose, wantsAll, answer);
+                   });
 }
 
 void FleetLink::onAnswer(const KnownRouter &router, Purpose purpose, bool hadAll,
@@ -343,6 +352,8 @@
 void FleetLink::takeRecords(const KnownRouter &router, bool hadAll, wire::NewsAnswerT &news)
 {
     Known &known = m_known[router.address];
+    if (known.routers.source != news.source)
+        known.told = 0; // A router that started anew knows nothing of before.
     known.routers = {news.source, news.number};
     if (hadAll)
         known.all = known.routers;
@@ -439,7 +450,8 @@
     const bool isFollower = ask.holdMs > 0;
     const Duration pause = milliseconds(ask.holdMs) * kToldShare / 100;
     TimePoint &toldAt = m_requestsToldAt.try_emplace(ask.router, TimePoint::min()).first->second;
-    if (toldAt == TimePoint::min() || now - toldAt >= pause) {
+    // A probe is not to use up what a follower waits for.
+    if (!ask.noRecords && (toldAt == TimePoint::min() || now - toldAt >= pause)) {
         toldAt = now;
         news.requestsTold = true;
         const ServerRequests own = m_listener.ownRequests();
@@ -454,10 +466,10 @@
                    packed<wire::NewsAnswer>(news));
 }
 
-std::vector<std::unique_ptr<wire::NewsRecordT>> FleetLink::localRecords(Known &known)
+std::vector<std::unique_ptr<wire::NewsRecordT>> FleetLink::localRecords(std::uint64_t since) const
 {
     std::vector<std::unique_ptr<wire::NewsRecordT>> records;
-    for (const FeedChange &change : m_feed.since(std::exchange(known.told, m_feed.number()))) {
+    for (const FeedChange &change : m_feed.since(since)) {
         if (isLocal(change.record->topic))
             records.push_back(toWire(change));
     }
--- a/src/gateway/fleetlink.h
+++ b/src/gateway/fleetlink.h
@@ -111,6 +111,7 @@
     void answerAsk(CallerConnection &caller, const wire::NewsAskT &ask);
     void addRecords(wire::NewsAnswerT &news, const wire::NewsAskT &ask);
     void learnRouter(const KnownRouter &router, std::uint64_t born);
+    bool hasFreshNews(TimePoint now) const;
     void decide(TimePoint now);
     void setReadsStore(bool reads, TimePoint now, std::string_view why);
     void exchange(TimePoint now);
@@ -128,12 +129,12 @@
     {
         Position all;           ///< Of records of all topics.
         Position routers;       ///< Of records of routers.
-        std::uint64_t told = 0; ///< This router's last change that it was told of with an ask.
+        std::uint64_t told = 0; ///< This router's last change that it was told of for sure.
         bool isAsked = false;   ///< An answer is outstanding.
     };
 
-    /// Records of local topics that the other router has not been told of.
-    std::vector<std::unique_ptr<wire::NewsRecordT>> localRecords(Known &known);
+    /// Records of local topics that changed after the change with that number.
+    std::vector<std::unique_ptr<wire::NewsRecordT>> localRecords(std::uint64_t since) const;
 
     HttpCaller &m_caller;
     RecordFeed &m_feed;
--- a/src/gateway/placelink.cpp
+++ b/src/gateway/placelink.cpp
@@ -310,8 +310,10 @@
 {
     for (const PlaceDecision &decision : m_queues[service].decide(now)) {
         const auto found = m_waiting.find(decision.wish);
-        if (found == m_waiting.end())
+        if (found == m_waiting.end()) {
+            m_queues[service].end(decision.place, PlaceEnd::Unused, now);
             continue;
+        }
         if (decision.place == 0)
             m_parts.metrics.count("comfrey_places_refused_total",
                                   "service=\"" + service.value() + "\"");
--- a/tests/servicequeuetest.cpp
+++ b/tests/servicequeuetest.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(unreachableServerIsLeftAloneForAWhile);
     CPPUNIT_TEST(placeOfADeadRouterIsFreeAgain);
     CPPUNIT_TEST(placesOutliveANewListOfServers);
+    CPPUNIT_TEST(serverThatIsListedAgainIsStillFull);
     CPPUNIT_TEST(manyRoutersAreServedOnTimeAtThePeak);
     CPPUNIT_TEST(overloadKeepsServingOnTime);
     CPPUNIT_TEST(hotOrganisationDoesNotCrowdOutTheOthers);
@@ -170,6 +171,15 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2 + ServiceQueue::kSpare}, m_queue.decide(at(5)).size());
     }
 
+    void serverThatIsListedAgainIsStillFull()
+    {
+        fill();
+        m_queue.setServers({{1, 2}});
+        m_queue.setServers({{1, 2}, {2, 2}});
+        addMany(1);
+        CPPUNIT_ASSERT(m_queue.decide(at(1)).empty());
+    }
+
     /// Target: every kind of request on time for at least 0.85 of what is asked.
     void manyRoutersAreServedOnTimeAtThePeak()
     {
--- a/tests/traffic/fleetlinktest.cpp
+++ b/tests/traffic/fleetlinktest.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(requestsOfAllZonesAreCountedOnce);
     CPPUNIT_TEST(crashThatAFollowerSawReachesAllZones);
     CPPUNIT_TEST(followersHearThatTheStoreIsInDoubt);
+    CPPUNIT_TEST(followerWithoutAnAnswerYetIsNotFreshForOthers);
+    CPPUNIT_TEST(crashThatWasToldWithALostAskIsToldAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -161,6 +163,39 @@
             [&] { return m_routers[0]->heardInDoubt > 0 && m_routers[2]->heardInDoubt > 0; }));
     }
 
+    /// A router that found another one up to date knows nothing of it before its first answer.
+    void followerWithoutAnAnswerYetIsNotFreshForOthers()
+    {
+        startRouters();
+        LinkedRouter late(m_loop, "late", 7, m_routers[0]->port.address, false);
+        reader().port.handler.isDeafToFollowers = true;
+        bool toldFresh = false;
+        const TimePoint end = now() + milliseconds(700);
+        runRouters([&] {
+            late.link().tick(now());
+            toldFresh = toldFresh || late.link().isFreshForOthers(now());
+            return now() >= end;
+        });
+        CPPUNIT_ASSERT(!toldFresh);
+    }
+
+    void crashThatWasToldWithALostAskIsToldAgain()
+    {
+        startRouters();
+        // It could tell the reader as well.
+        const std::unique_ptr<LinkedRouter> third = std::move(m_routers.back());
+        m_routers.pop_back();
+        third->link().stop();
+        LinkedRouter &follower = *m_routers[0];
+        reader().port.handler.isDeafToFollowers = true;
+        follower.feed.put({"~crashes", "request server", std::string(), 5});
+        CPPUNIT_ASSERT(runRouters([&] { return reader().port.handler.lostRecords > 0; }));
+        CPPUNIT_ASSERT(!reader().feed.find("~crashes", "request server"));
+        reader().port.handler.isDeafToFollowers = false;
+        CPPUNIT_ASSERT(runRouters(
+            [&] { return reader().feed.find("~crashes", "request server") != nullptr; }));
+    }
+
 private:
     /// Three routers that have found out who reads the store. Reads succeed at once.
     void startRouters()
--- a/tests/traffic/linkedrouter.h
+++ b/tests/traffic/linkedrouter.h
@@ -5,8 +5,10 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "gateway/fleetlink.h"
+#include "gateway/wiretext.h"
 #include "loopback.h"
 #include "traffic/callerlistener.h"
 
@@ -54,12 +56,24 @@
             {
                 if (now() < servesFrom)
                     connection->abort();
+                else if (isDeafToFollowers && isFollower(body, lostRecords))
+                    held.push_back(connection); // Never answered.
                 else
                     link->onRequest(connection, std::move(head), std::move(body));
             }
             const CallerLimits &limits() const override { return link->limits(); }
             bool isStopping() const override { return false; }
+            static bool isFollower(const std::string &body, std::size_t &records)
+            {
+                const auto ask = unpacked<wire::NewsAsk>(body);
+                records += ask ? ask->records.size() : 0;
+                return ask && ask->holdMs > 0;
+            }
+
             FleetLink *link = nullptr;
+            bool isDeafToFollowers = false;
+            std::size_t lostRecords = 0; ///< That asks without an answer carried.
+            std::vector<std::shared_ptr<CallerConnection>> held;
             TimePoint servesFrom = TimePoint::min();
         };
 
