Bytes without end are bounded, in either direction

Change: what the parser can't use yet is bounded by the limit of a head, in both directions (a server's is malformed, a caller's gets 400); 16 answers before a request's own are the most; an event of more than 256 kB ends the sending.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::size_t kMaxHeldBytes =
     std::size_t{256} * 1024; ///< Larger answers are relayed as they come.
+constexpr std::size_t kMaxEventBytes =
+    std::size_t{256} * 1024; ///< Of a stream that may go on elsewhere; events hold a few tokens.
 constexpr std::size_t kMaxCallerBacklog =
     std::size_t{128} * 1024; ///< Beyond it, the backend server is made to wait.
 /// After the time limit, the server's own answer may still be on its way.
@@ -311,6 +313,10 @@
 {
     if (m_resumable) {
         m_caller->writeBody(m_events.feed(bytes));
+        if (m_events.rest().size() > kMaxEventBytes) {
+            endMalformed("an event is too long");
+            return;
+        }
     } else {
         m_caller->writeBody(bytes);
     }
@@ -324,6 +330,14 @@
         m_connection->setPaused(true);
 }
 
+void Exchange::endMalformed(std::string_view reason)
+{
+    const auto self = shared_from_this();
+    dispatcher().onBrokenOff(*m_replica, m_gateway.now());
+    dropReplica();
+    afterSend(SendEnd::Unknown, reason);
+}
+
 void Exchange::onCallerDrained()
 {
     if (m_connection)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -63,6 +63,8 @@
     void onNotRun(TimePoint now);
     void endSending(TimePoint now);
     void passOn(std::string_view bytes);
+    /// Drops an answer that has begun and can't be sound any more.
+    void endMalformed(std::string_view reason);
     void startStream();
     void deliverHeld();
     /// The present sending ended without an answer for the caller: sends once more or gives up.
--- a/src/traffic/backendconnection.cpp
+++ b/src/traffic/backendconnection.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+/// Before a request's own response: a late second answer or an interim one is usual, more are not.
+constexpr std::uint32_t kMostSkipped = 16;
 constexpr std::uint64_t kMaxResponseBytes = std::uint64_t(1) << 40; ///< Relayed, never held whole.
 
 std::optional<Duration> keepAliveOf(const HttpHead &head)
@@ -59,6 +61,7 @@
     m_hasSent = false;
     m_headGiven = false;
     m_discarding = false;
+    m_skipped = 0;
     m_paused = false;
     if (m_isOpen)
         writeRequest();
@@ -191,6 +194,11 @@
             fail(BreakKind::Malformed);
             return;
         }
+        // The parser waits for the end of a chunk's extension or of a trailer.
+        if (m_unparsed.size() > m_limits.maxHeaderBytes) {
+            fail(BreakKind::Malformed);
+            return;
+        }
         if (!m_parser->hasHead())
             return;
         if (!m_headGiven && !m_discarding && !takeHead())
@@ -207,6 +215,10 @@
             continue;
         }
         if (m_discarding || m_parser->head().status < 200) {
+            if (++m_skipped > kMostSkipped) {
+                fail(BreakKind::Malformed);
+                return;
+            }
             const bool wasForeign = m_discarding;
             m_discarding = false;
             m_headGiven = false;
--- a/src/traffic/backendconnection.h
+++ b/src/traffic/backendconnection.h
@@ -111,8 +111,9 @@
     bool m_hasSent = false;
     bool m_paused = false;
     bool m_reading = false;
-    bool m_headGiven = false;  ///< The listener has the head of the present response.
-    bool m_discarding = false; ///< The present response belongs to another request.
+    bool m_headGiven = false;    ///< The listener has the head of the present response.
+    bool m_discarding = false;   ///< The present response belongs to another request.
+    std::uint32_t m_skipped = 0; ///< Interim and foreign responses before that of this request.
 };
 
 } // namespace comfrey
--- a/src/traffic/callerconnection.cpp
+++ b/src/traffic/callerconnection.cpp
@@ -119,6 +119,11 @@
         return;
     }
     if (!m_parser->isComplete()) {
+        // The parser waits for the end of a chunk's extension or of a trailer.
+        if (m_unparsed.size() > m_handler.limits().maxHeaderBytes) {
+            refuse(400, "malformed request");
+            return;
+        }
         if (m_parser->hasHead() && !hadHead && m_parser->head().count("Expect") > 0)
             write("HTTP/1.1 100 Continue\r\n\r\n");
         return;
--- a/tests/traffic/loopback.h
+++ b/tests/traffic/loopback.h
@@ -49,6 +49,8 @@
 
     void read();
     void write(const std::string &bytes);
+    /// Writes what the other side takes now of endless repetitions of `unit`.
+    void writeEndless(const std::string &unit);
     /// A whole answer with the request's id, the signature and a length.
     void answer(const Request &request, const std::string &body, const std::string &fields = {},
                 int status = 200);
@@ -65,6 +67,7 @@
     Script m_script;
     std::array<char, 65536> m_chunk{};
     std::string m_unparsed;
+    std::string m_unwritten;
     std::optional<RequestParser> m_parser;
     bool m_closedByPeer = false;
     bool m_onHeads = false;
