--- a/src/dispatch/servicequeue.cpp
+++ b/src/dispatch/servicequeue.cpp
@@ -2,7 +2,6 @@
 #include "dispatch/servicequeue.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 namespace comfrey {
@@ -27,8 +26,6 @@
 constexpr double kNeededFactor = 2;
 /// Of work for requests that can't be on time any more: a lull between two clumps takes that much.
 constexpr Duration kLateBacklog = milliseconds(1000);
-/// In which a place that a late request got counts less: about the time that such a one can wait.
-constexpr Duration kLateMemory = milliseconds(1000);
 constexpr Duration kShortestRetry = milliseconds(800);
 constexpr Duration kLongestRetry = milliseconds(3000);
 
@@ -124,21 +121,6 @@
     return static_cast<std::size_t>(rounds * slots());
 }
 
-double ServiceQueue::lateRate(TimePoint now) const
-{
-    if (m_lateCountedAt == TimePoint::min())
-        return 0;
-    const auto age = static_cast<double>((now - m_lateCountedAt).count());
-    const auto memory = static_cast<double>(kLateMemory.count());
-    return m_lateGrants * std::exp(-age / memory) * 1e6 / memory;
-}
-
-void ServiceQueue::countLateGrant(TimePoint now)
-{
-    m_lateGrants = lateRate(now) * static_cast<double>(kLateMemory.count()) / 1e6 + 1;
-    m_lateCountedAt = now;
-}
-
 Duration ServiceQueue::drainTime() const
 {
     const double rounds = static_cast<double>(m_waiting.size()) / slots();
@@ -165,17 +147,9 @@
     const Duration retry = std::clamp(drainTime(), kShortestRetry, kLongestRetry);
     std::size_t late = 0;
     const std::size_t mostLate = lateBound();
-    const std::size_t fewLate = slots();
-    const double rate = std::max(1.0, lateRate(now));
     std::erase_if(m_waiting, [&](const PlaceWish &wish) {
-        // Of those who can't be on time any more, as many wait as get a place in time at the rate
-        // of the last second; a few wait at any rate, so that it shows when a lull begins.
-        bool fits = isOnTime(wish, now);
-        if (!fits && late < mostLate) {
-            const Duration turn(static_cast<std::int64_t>(1e6 * static_cast<double>(late) / rate));
-            fits = late < fewLate || now + turn + needed <= wish.until;
-        }
-        late += fits && !isOnTime(wish, now) ? 1 : 0;
+        // Of those who can't be on time any more, the first ones wait for a lull.
+        const bool fits = isOnTime(wish, now) || late++ < mostLate;
         if (fits && now + needed <= wish.until)
             return false;
         decisions.push_back({wish.id, 0, 0, retry});
@@ -273,8 +247,6 @@
             return decisions;
         const auto server = serverFor(*wish, now);
         ++server->second.used;
-        if (!isOnTime(*wish, now))
-            countLateGrant(now);
         m_places[++m_lastPlace] = {server->first, now, wish->until + kLapseMargin};
         m_organisations[wish->organisation].granted += 1;
         decisions.push_back({wish->id, m_lastPlace, server->first, Duration(0)});
--- a/src/dispatch/servicequeue.h
+++ b/src/dispatch/servicequeue.h
@@ -104,9 +104,6 @@
     bool isOnTime(const PlaceWish &wish, TimePoint now) const;
     /// Most requests that wait though they can't be on time any more.
     std::size_t lateBound() const;
-    /// Places a second that such requests got lately.
-    double lateRate(TimePoint now) const;
-    void countLateGrant(TimePoint now);
     Duration drainTime() const;
     /// What the organisation got lately against what it usually asks for.
     double shareOf(const std::string &organisation) const;
@@ -124,8 +121,6 @@
     std::map<std::string, Organisation> m_organisations;
     TimePoint m_halvedAt = TimePoint::min();
     std::uint64_t m_lastPlace = 0;
-    double m_lateGrants = 0; ///< Places that late requests got; the older, the less they count.
-    TimePoint m_lateCountedAt = TimePoint::min();
 };
 
 } // namespace comfrey
