--- a/src/routers/loaddigest.h
+++ b/src/routers/loaddigest.h
@@ -1,5 +1,6 @@
-// How many requests all routers have at each backend server: the routers of this one's zone tell
-// theirs singly, other zones as sums. What was not told again for a while counts no more.
+// How many requests all routers have at each backend server, or about each prompt: the routers of
+// this one's zone tell theirs singly, other zones as sums. What was not told again for a while
+// counts no more.
 #pragma once
 
 #include <cstdint>
@@ -12,7 +13,7 @@
 
 namespace comfrey {
 
-/// Requests by the hash of the backend server's incarnation.
+/// Requests by the hash of the backend server's incarnation; of prompts, by promptHash().
 using ServerRequests = std::unordered_map<std::uint32_t, std::uint32_t>;
 
 /// How the sum of another zone came here.
--- a/tests/support/placementplay.cpp
+++ b/tests/support/placementplay.cpp
@@ -69,11 +69,6 @@
     }
 }
 
-void PlacementPlay::later(TimePoint at, std::function<void(TimePoint)> step)
-{
-    m_steps.push({at, ++m_lastStep, std::move(step)});
-}
-
 bool PlacementPlay::isHot(TimePoint now) const
 {
     return now - start() >= m_load.hotFrom && now - start() < m_load.hotUntil;
@@ -93,11 +88,7 @@
         else if (router > 0)
             later(start() + phase, [this, router](TimePoint at) { askAcross(router, at); });
     }
-    while (!m_steps.empty()) {
-        const Step step = m_steps.top();
-        m_steps.pop();
-        step.run(step.at);
-    }
+    m_steps.runAll();
     PlacementResult result;
     result.sent = m_sent.size();
     std::size_t over = 0;
--- a/tests/support/placementplay.h
+++ b/tests/support/placementplay.h
@@ -16,6 +16,7 @@
 #include "comfrey/units.h"
 #include "dispatch/replicachooser.h"
 #include "routers/loaddigest.h"
+#include "support/playsteps.h"
 
 namespace comfrey {
 
@@ -71,16 +72,6 @@
     PlacementResult run();
 
 private:
-    struct Step
-    {
-        TimePoint at;
-        std::uint64_t number;
-        std::function<void(TimePoint)> run;
-        bool operator<(const Step &other) const
-        {
-            return std::pair(other.at, other.number) < std::pair(at, number);
-        }
-    };
     struct Router
     {
         std::vector<std::shared_ptr<Replica>> replicas;
@@ -109,7 +100,7 @@
         TimePoint readUntil = TimePoint::min();    ///< Prompts are read one after another.
     };
 
-    void later(TimePoint at, std::function<void(TimePoint)> step);
+    void later(TimePoint at, PlaySteps::Step step) { m_steps.later(at, std::move(step)); }
     void arrive(std::size_t kind, TimePoint now);
     void place(Chat chat, TimePoint now);
     void begin(std::size_t chat, TimePoint now);
@@ -127,8 +118,7 @@
     std::vector<Router> m_routers;
     std::vector<Engine> m_engines;
     std::vector<Chat> m_chats;
-    std::priority_queue<Step> m_steps;
-    std::uint64_t m_lastStep = 0;
+    PlaySteps m_steps;
     std::vector<std::pair<TimePoint, bool>> m_sent; ///< And whether the engine was overloaded.
     std::size_t m_running = 0;                      ///< At all engines.
     std::size_t m_read = 0;
--- a/tests/support/serviceplay.cpp
+++ b/tests/support/serviceplay.cpp
@@ -36,11 +36,6 @@
       m_policyRandom(load.seed + 2), m_servers(load.servers)
 { }
 
-void ServicePlay::later(TimePoint at, std::function<void(TimePoint)> step)
-{
-    m_steps.push({at, ++m_lastStep, std::move(step)});
-}
-
 double ServicePlay::rateAt(TimePoint now) const
 {
     const double turns = secondsOf(now - start()) / secondsOf(m_load.wave);
@@ -155,11 +150,7 @@
 ServiceResult ServicePlay::run()
 {
     later(start(), [this](TimePoint at) { arrive(at); });
-    while (!m_steps.empty()) {
-        const Step step = m_steps.top();
-        m_steps.pop();
-        step.run(step.at);
-    }
+    m_steps.runAll();
     if (!m_times.empty()) {
         const auto middle = m_times.begin() + static_cast<std::ptrdiff_t>(m_times.size() / 2);
         std::nth_element(m_times.begin(), middle, m_times.end());
--- a/tests/support/serviceplay.h
+++ b/tests/support/serviceplay.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "comfrey/units.h"
+#include "support/playsteps.h"
 
 namespace comfrey {
 
@@ -93,7 +94,7 @@
     // For policies.
     void send(std::size_t request, std::size_t server, TimePoint now);
     void refuse(std::size_t request, TimePoint now);
-    void later(TimePoint at, std::function<void(TimePoint)> step);
+    void later(TimePoint at, PlaySteps::Step step) { m_steps.later(at, std::move(step)); }
 
 private:
     struct Server
@@ -104,17 +105,6 @@
         TimePoint usualUntil = TimePoint::min();
     };
 
-    struct Step
-    {
-        TimePoint at;
-        std::uint64_t number;
-        std::function<void(TimePoint)> run;
-        bool operator<(const Step &other) const
-        {
-            return std::pair(other.at, other.number) < std::pair(at, number);
-        }
-    };
-
     void arrive(TimePoint now);
     void reach(std::size_t request, TimePoint now);
     void begin(std::size_t server, std::size_t request, TimePoint now);
@@ -130,8 +120,7 @@
     std::mt19937_64 m_policyRandom;
     std::vector<PlayedRequest> m_requests;
     std::vector<Server> m_servers;
-    std::priority_queue<Step> m_steps;
-    std::uint64_t m_lastStep = 0;
+    PlaySteps m_steps;
     ServiceResult m_result;
     std::vector<Duration> m_times;
     std::map<std::string, std::pair<std::size_t, std::size_t>>
