--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -220,6 +220,7 @@
     delivery.lastEventId = m_events.lastId().empty() ? m_facts.lastEventId : m_events.lastId();
     LogLine(m_gateway.parts().log, "request-sent", now)
         .add("request", m_facts.id)
+        .add("fingerprint", std::to_string(m_facts.fingerprint.value()))
         .add("server", m_replica->record.id.value())
         .add("reason", choice.reason)
         .add("load_tenths", static_cast<std::int64_t>(choice.load * 10))
@@ -481,6 +482,7 @@
     const auto sends = static_cast<std::uint32_t>(m_tried.size());
     LogLine(m_gateway.parts().log, "send-failed", now)
         .add("request", m_facts.id)
+        .add("fingerprint", std::to_string(m_facts.fingerprint.value()))
         .add("server", m_tried.empty() ? std::string_view() : std::string_view(m_tried.back()))
         .add("after", now - m_sentAt)
         .add("reason", reason);
