--- /dev/null
+++ b/tests/traffic/endingfleet.cpp
@@ -0,0 +1,153 @@
+// Servers that end and start again, and the callers' side.
+#include "endingfleet.h"
+
+namespace comfrey::loopback {
+
+namespace {
+
+constexpr Duration kTick = milliseconds(20);
+
+} // namespace
+
+EndingFleet::EndingFleet(boost::asio::io_context &loop, std::size_t routers, std::size_t servers,
+                         Duration serverDownFor)
+    : m_loop(loop), m_serverDownFor(serverDownFor), m_nextTick(now())
+{
+    for (std::size_t index = 0; index < servers; ++index) {
+        m_servers.push_back(std::make_unique<Server>());
+        m_servers.back()->id = BackendId("e" + std::to_string(index));
+        startServer(*m_servers.back());
+    }
+    for (std::size_t index = 0; index < routers; ++index)
+        addRouter();
+    runUntilDone([&] {
+        return std::all_of(m_routers.begin(), m_routers.end(),
+                           [](const auto &router) { return router->link().isFresh(now()); });
+    });
+}
+
+FleetConfig EndingFleet::config()
+{
+    FleetConfig config;
+    config.version = 1;
+    for (const auto &[prefix, kind] : {std::pair{"/once/", RouteKind::AtMostOnce},
+                                       std::pair{"/again/", RouteKind::Repeatable}}) {
+        Route route;
+        route.name = prefix;
+        route.host = "a.example";
+        route.pathPrefix = prefix;
+        route.kind = kind;
+        route.timeout = milliseconds(3000);
+        route.maxAttempts = 4;
+        route.targets = {{ServiceName("s"), 1}};
+        config.routes.push_back(route);
+    }
+    return config;
+}
+
+ReplicaRecord EndingFleet::recordOf(const Server &server)
+{
+    ReplicaRecord record;
+    record.id = server.id;
+    record.service = ServiceName("s");
+    record.address = Endpoint(server.processes.back()->address());
+    record.slots = 8;
+    record.born = server.born;
+    return record;
+}
+
+void EndingFleet::addRouter()
+{
+    const std::string seed = m_routers.empty() ? std::string() : m_routers.front()->port.address;
+    m_routers.push_back(
+        std::make_unique<ServingRouter>(m_loop, "r" + std::to_string(m_routers.size()), seed));
+    m_routers.back()->dispatcher.apply(config());
+    for (const auto &server : m_servers)
+        m_routers.back()->dispatcher.replicas().put(recordOf(*server), now());
+}
+
+void EndingFleet::startServer(Server &server)
+{
+    ++server.born;
+    const std::uint16_t port = keepsPort ? server.processes.back()->port() : 0;
+    server.processes.push_back(std::make_unique<ScriptedServer>(
+        m_loop,
+        [this, &server](ServerConnection &connection, const ServerConnection::Request &request) {
+            onRequest(server, connection, request);
+        },
+        port));
+    if (listedAfter > Duration(0))
+        later(listedAfter, [this, &server] { list(server); });
+    else
+        list(server);
+}
+
+void EndingFleet::list(const Server &server)
+{
+    for (const auto &router : m_routers)
+        router->dispatcher.replicas().put(recordOf(server), now());
+}
+
+void EndingFleet::onRequest(Server &server, ServerConnection &connection,
+                            const ServerConnection::Request &request)
+{
+    if (request.body == "reset") {
+        connection.reset();
+        return;
+    }
+    if (request.body != "end") {
+        connection.answer(request, "ran");
+        return;
+    }
+    m_ends.push_back(now());
+    server.processes.back()->end();
+    later(m_serverDownFor, [this, &server] { startServer(server); });
+}
+
+void EndingFleet::send(std::size_t router, const std::string &path, const std::string &body)
+{
+    Call call;
+    call.body = body;
+    call.caller = std::make_unique<RawCaller>(m_loop, m_routers.at(router)->callers.port());
+    call.caller->send("POST " + path + "x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q"
+                      + std::to_string(++m_ids)
+                      + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    m_calls.push_back(std::move(call));
+}
+
+void EndingFleet::step()
+{
+    if (now() >= m_nextTick) {
+        m_nextTick = now() + kTick;
+        for (const auto &router : m_routers)
+            router->tick();
+    }
+    while (!m_later.empty() && m_later.begin()->first <= now()) {
+        const auto action = std::move(m_later.begin()->second);
+        m_later.erase(m_later.begin());
+        action();
+    }
+    std::erase_if(m_calls, [this](Call &call) {
+        const auto response = call.caller->takeResponse();
+        if (!response && !call.caller->isClosed())
+            return false;
+        m_statuses[call.body].push_back(response ? response->head.status : 0);
+        return true;
+    });
+}
+
+bool EndingFleet::runUntilDone(const std::function<bool()> &done)
+{
+    return runUntil(m_loop, [&] {
+        step();
+        return done();
+    });
+}
+
+void EndingFleet::run(Duration time)
+{
+    const TimePoint end = now() + time;
+    runUntilDone([end] { return now() >= end; });
+}
+
+} // namespace comfrey::loopback
--- a/tests/traffic/loopback.cpp
+++ b/tests/traffic/loopback.cpp
@@ -103,15 +103,17 @@
     m_socket.close(ignored);
 }
 
-ScriptedServer::ScriptedServer(boost::asio::io_context &loop, ServerConnection::Script script)
-    : m_acceptor(loop, {boost::asio::ip::address_v4::loopback(), 0}), m_script(std::move(script))
+ScriptedServer::ScriptedServer(boost::asio::io_context &loop, ServerConnection::Script script,
+                               std::uint16_t port)
+    : m_acceptor(loop, {boost::asio::ip::address_v4::loopback(), port}),
+      m_port(m_acceptor.local_endpoint().port()), m_script(std::move(script))
 {
     accept();
 }
 
 std::string ScriptedServer::address() const
 {
-    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(m_port);
 }
 
 void ScriptedServer::accept()
@@ -132,6 +134,13 @@
     });
 }
 
+void ScriptedServer::end()
+{
+    m_acceptor.close();
+    for (const auto &connection : m_connections)
+        connection->reset();
+}
+
 RawCaller::RawCaller(boost::asio::io_context &loop, std::uint16_t port)
     : m_state(std::make_shared<State>(loop))
 {
--- a/tests/traffic/loopback.h
+++ b/tests/traffic/loopback.h
@@ -78,17 +78,23 @@
 class ScriptedServer
 {
 public:
-    ScriptedServer(boost::asio::io_context &loop, ServerConnection::Script script);
+    /// `port`: 0 for one that is free.
+    ScriptedServer(boost::asio::io_context &loop, ServerConnection::Script script,
+                   std::uint16_t port = 0);
     std::string address() const;
+    std::uint16_t port() const { return m_port; }
     std::size_t connectionCount() const { return m_connections.size(); }
     ServerConnection &connection(std::size_t index) { return *m_connections.at(index); }
     std::size_t requestCount() const { return m_requests; }
+    /// The server's process ends: its port is closed and all its connections are reset.
+    void end();
     void actOnHeads() { m_onHeads = true; }
 
 private:
     void accept();
 
     boost::asio::ip::tcp::acceptor m_acceptor;
+    std::uint16_t m_port; ///< Also after its end.
     ServerConnection::Script m_script;
     std::vector<std::shared_ptr<ServerConnection>> m_connections;
     std::size_t m_requests = 0;
