Crashing requests: each broken sending stays open until the server shows whether it lives

A crash counted only if two connections of one router to the server ended within 100 ms, or a connection to it was refused to the same router within 1 s. Both depend on that router's own traffic to that server. 73 routers before 115 servers have one connection to a server at a time and ask it about every seventh second, so neither happened, and the suspicion never began. The same rule took resets of two connections to a living server for a crash. The guard was asked at admission only: a request under way went on to further servers. Any answer below 500 cleared it, at this router only.

A sending that broke off, or was owed an answer for a second, is an open question. It is closed by what shows the server's end (its port refuses a connection, which the router tries at once; another server at its address; a later start of it or its removal in the list without leaving) or that it lives (an answer to what was sent later); after 8 s it says nothing. A connection that times out or can't be opened here is no evidence. The check's connection is kept for the next request. A request that would be sent once more waits for the check (50 ms at most), and every sending asks the guard. A 2xx clears the request on all routers. It is refused for 60 s, twice as long with each further server, so a wrong suspicion ends soon.

--- a/src/dispatch/crashguard.cpp
+++ b/src/dispatch/crashguard.cpp
@@ -1,65 +1,111 @@
-// Suspects by fingerprint.
+// Questions by server, suspects by fingerprint.
 #include "dispatch/crashguard.h"
 
+#include <algorithm>
+
 namespace comfrey {
 
-void CrashGuard::onBrokenSend(Fingerprint request, const std::string &server, TimePoint now)
+std::string_view nameOf(EndEvidence evidence)
 {
-    m_broken.push_back({{request, server}, now});
-    onConnectionLost(server, now);
+    switch (evidence) {
+    case EndEvidence::ConnectionRefused:
+        return "its port refuses connections";
+    case EndEvidence::OtherServer:
+        return "another server has its address";
+    case EndEvidence::Restarted:
+        return "it has started again";
+    case EndEvidence::Unlisted:
+        return "it is listed no more";
+    }
+    return "unknown";
 }
 
-void CrashGuard::onConnectionLost(const std::string &server, TimePoint now)
+void CrashGuard::onUnanswered(Fingerprint request, const std::string &server, TimePoint now)
 {
-    const auto [last, isFirst] = m_lastLost.try_emplace(server, now);
-    const bool isTogether = !isFirst && now - last->second <= kTogether;
-    last->second = now;
-    if (isTogether)
-        onServerCrashed(server, now);
+    if (m_questionCount >= kMostQuestions)
+        return;
+    m_questions[server].push_back({request, now});
+    ++m_questionCount;
 }
 
-void CrashGuard::onUnreachable(const std::string &server, TimePoint now)
+void CrashGuard::onAnswered(const std::string &server, TimePoint sentAt)
 {
-    onServerCrashed(server, now);
+    if (m_questions.empty())
+        return;
+    const auto found = m_questions.find(server);
+    if (found == m_questions.end())
+        return;
+    m_questionCount -= std::erase_if(
+        found->second, [sentAt](const Question &question) { return question.at <= sentAt; });
+    if (found->second.empty())
+        m_questions.erase(found);
 }
 
-void CrashGuard::onServerCrashed(const std::string &server, TimePoint now)
+void CrashGuard::onServerEnded(const std::string &server, EndEvidence evidence, TimePoint now)
 {
-    for (const BrokenSend &broken : m_broken) {
-        if (broken.notice.server == server && now - broken.at <= kEvidence
-            && onCrash(broken.notice.request, server, now))
-            m_notices.push_back(broken.notice);
+    const auto found = m_questions.find(server);
+    if (found == m_questions.end())
+        return;
+    for (const Question &question : found->second) {
+        if (onCrash(question.request, server, now))
+            m_notices.push_back({question.request, server, evidence, now - question.at});
     }
-    std::erase_if(m_broken,
-                  [&](const BrokenSend &broken) { return broken.notice.server == server; });
+    m_questionCount -= found->second.size();
+    m_questions.erase(found);
 }
 
 bool CrashGuard::onCrash(Fingerprint request, const std::string &server, TimePoint now)
 {
+    if (m_suspects.size() >= kMostSuspects && m_suspects.count(request) == 0)
+        return false;
     Suspect &suspect = m_suspects[request];
+    if (!suspect.servers.insert(server).second)
+        return false;
     suspect.last = now;
-    return suspect.servers.insert(server).second;
+    return true;
 }
 
 void CrashGuard::onSuccess(Fingerprint request)
 {
-    m_suspects.erase(request);
+    if (m_suspects.erase(request) > 0)
+        m_notices.push_back({request, {}});
+}
+
+Duration CrashGuard::termOf(const Suspect &suspect)
+{
+    if (suspect.servers.size() < kCrashesToRefuse)
+        return Duration(0);
+    const std::size_t doublings =
+        std::min(suspect.servers.size() - kCrashesToRefuse, kMostDoublings);
+    return kFirstTerm * (1U << doublings);
 }
 
-bool CrashGuard::isRefused(Fingerprint request, TimePoint now) const
+Duration CrashGuard::refusedFor(Fingerprint request, TimePoint now) const
 {
+    if (m_suspects.empty())
+        return Duration(0);
     const auto found = m_suspects.find(request);
-    return found != m_suspects.end() && found->second.servers.size() >= kCrashesToRefuse
-        && now - found->second.last < kTerm;
+    if (found == m_suspects.end())
+        return Duration(0);
+    return std::max(Duration(0), found->second.last + termOf(found->second) - now);
+}
+
+std::size_t CrashGuard::crashCount(Fingerprint request) const
+{
+    const auto found = m_suspects.find(request);
+    return found == m_suspects.end() ? 0 : found->second.servers.size();
 }
 
 void CrashGuard::tick(TimePoint now)
 {
-    std::erase_if(m_broken,
-                  [now](const BrokenSend &broken) { return now - broken.at > kEvidence; });
-    std::erase_if(m_lastLost, [now](const auto &entry) { return now - entry.second > kEvidence; });
+    for (auto entry = m_questions.begin(); entry != m_questions.end();) {
+        m_questionCount -= std::erase_if(entry->second, [now](const Question &question) {
+            return now - question.at > kQuestionLife;
+        });
+        entry = entry->second.empty() ? m_questions.erase(entry) : std::next(entry);
+    }
     std::erase_if(m_suspects,
-                  [now](const auto &entry) { return now - entry.second.last >= kTerm; });
+                  [now](const auto &entry) { return now - entry.second.last >= kMemory; });
 }
 
 } // namespace comfrey
--- a/src/dispatch/crashguard.h
+++ b/src/dispatch/crashguard.h
@@ -1,10 +1,16 @@
 // Requests that crash the backend servers that run them. Callers send such a request again, through
 // any router, so routers tell each other; after crashes of a few servers it is refused for a term.
+//
+// A sending that ends without an answer is a question: it stays open until the server shows that it
+// ended (its port refuses, another server or a later start has its place) or that it lives (it
+// answers what was sent later), or until it is too old to tell.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -13,60 +19,85 @@
 
 namespace comfrey {
 
-/// A request that was running when a server crashed.
+/// What shows that the process of a server has ended.
+enum class EndEvidence : std::uint8_t {
+    ConnectionRefused, ///< Nothing listens at its address.
+    OtherServer,       ///< Another server answers at its address.
+    Restarted,         ///< The list has a later start of it.
+    Unlisted,          ///< Its record was removed though it had not said that it leaves.
+};
+
+std::string_view nameOf(EndEvidence evidence);
+
+/// What this router found out about a request.
 struct CrashNotice
 {
     Fingerprint request;
-    std::string server; ///< The incarnation that crashed.
+    std::string server; ///< The incarnation that ended; empty if the request ran well.
+    EndEvidence evidence = EndEvidence::ConnectionRefused;
+    Duration after{0}; ///< From the end of the sending to the evidence.
 };
 
 class CrashGuard
 {
 public:
-    /// The connection broke that carried the request. Alone this shows no crash.
-    void onBrokenSend(Fingerprint request, const std::string &server, TimePoint now);
-    /// A connection to the server ended without a reason known here. Two at once mean a crash.
-    void onConnectionLost(const std::string &server, TimePoint now);
-    /// The server takes no connections any more.
-    void onUnreachable(const std::string &server, TimePoint now);
+    /// A sending of the request ended without a whole answer, while the server may have run it.
+    void onUnanswered(Fingerprint request, const std::string &server, TimePoint now);
+    /// The server answered a request that was sent at `sentAt`.
+    void onAnswered(const std::string &server, TimePoint sentAt);
+    /// The server's process has ended.
+    void onServerEnded(const std::string &server, EndEvidence evidence, TimePoint now);
+    /// The request ran to a good end: the crashes beside it had other causes.
+    void onSuccess(Fingerprint request);
     /// What this router found out since the last call, for the other routers.
     std::vector<CrashNotice> takeNotices() { return std::exchange(m_notices, {}); }
 
     /// Found out here or told by another router. True if that was not known yet.
     bool onCrash(Fingerprint request, const std::string &server, TimePoint now);
-    /// The request ran well: the crashes beside it had other causes.
-    void onSuccess(Fingerprint request);
-    bool isRefused(Fingerprint request, TimePoint now) const;
+    /// Another router saw it run well.
+    void onCleared(Fingerprint request) { m_suspects.erase(request); }
+
+    /// How long the request is refused from now on; zero if it may run.
+    Duration refusedFor(Fingerprint request, TimePoint now) const;
+    /// Servers that ended under it, as far as is known.
+    std::size_t crashCount(Fingerprint request) const;
     void tick(TimePoint now);
 
+    /// From the last crash until nothing is known of the request any more.
+    static constexpr Duration kMemory = milliseconds(600000); // longer than the longest term
+
 private:
     static constexpr std::size_t kCrashesToRefuse =
         2; // a third server must not pay for a sure suspicion
-    static constexpr Duration kTerm =
-        milliseconds(60000); ///< A crashed server takes seconds to come back.
+    /// For how long a request is refused that crashed just enough servers. Twice as long with each
+    /// crash more: a wrong suspicion ends soon, a right one costs few servers.
+    static constexpr Duration kFirstTerm = milliseconds(60000);
+    static constexpr std::size_t kMostDoublings = 3;
 
-    /// Connections that are lost within it went down together.
-    static constexpr Duration kTogether = milliseconds(100);
-    /// After a connection broke, a refused one shows that the server is down.
-    static constexpr Duration kEvidence = milliseconds(1000);
+    /// A question is open for so long: three heartbeats of a server and the way of the list, or its
+    /// start after a crash, which takes some seconds.
+    static constexpr Duration kQuestionLife = milliseconds(8000);
+    /// Bounds memory: a router has fewer requests under way.
+    static constexpr std::size_t kMostQuestions = 4096;
+    static constexpr std::size_t kMostSuspects = 16384;
 
-    struct BrokenSend
+    struct Question
     {
-        CrashNotice notice;
+        Fingerprint request;
         TimePoint at;
     };
 
-    void onServerCrashed(const std::string &server, TimePoint now);
-
     struct Suspect
     {
-        std::set<std::string> servers; ///< Incarnations that broke.
-        TimePoint last;
+        std::set<std::string> servers; ///< Incarnations that ended under it.
+        TimePoint last;                ///< When the last one became known here.
     };
 
+    static Duration termOf(const Suspect &suspect);
+
     std::map<Fingerprint, Suspect> m_suspects;
-    std::vector<BrokenSend> m_broken;            ///< Within kEvidence.
-    std::map<std::string, TimePoint> m_lastLost; ///< By server; within kEvidence.
+    std::map<std::string, std::vector<Question>> m_questions; ///< By server; none is empty.
+    std::size_t m_questionCount = 0;
     std::vector<CrashNotice> m_notices;
 };
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -45,7 +45,8 @@
             return admission;
         }
     }
-    if (m_crashes.isRefused(request.fingerprint, now)) {
+    admission.refusedFor = m_crashes.refusedFor(request.fingerprint, now);
+    if (admission.refusedFor > Duration(0)) {
         admission.refusal = Refusal::Quarantined;
         return admission;
     }
@@ -147,10 +148,24 @@
     replica.health.onFailure(usualFailureShare(replica), now);
 }
 
-void Dispatcher::onUnreachable(Replica &replica, TimePoint now)
+void Dispatcher::onUnreachable(Replica &replica, bool isRefused, TimePoint now)
 {
     replica.health.onUnreachable(now);
-    m_crashes.onUnreachable(replica.incarnation, now);
+    if (isRefused)
+        m_crashes.onServerEnded(replica.incarnation, EndEvidence::ConnectionRefused, now);
+}
+
+void Dispatcher::onSeenUnreachable(Replica &replica, bool isRefused, TimePoint now)
+{
+    replica.health.onSeenUnreachable(now);
+    if (isRefused)
+        m_crashes.onServerEnded(replica.incarnation, EndEvidence::ConnectionRefused, now);
+}
+
+void Dispatcher::onOtherServer(const Replica &replica, TimePoint now)
+{
+    m_replicas.disown(replica.record.id);
+    m_crashes.onServerEnded(replica.incarnation, EndEvidence::OtherServer, now);
 }
 
 void Dispatcher::onBrokenOff(Replica &replica, TimePoint now)
@@ -200,6 +215,8 @@
 void Dispatcher::tick(TimePoint now)
 {
     m_replicas.tick(now);
+    for (const EndedReplica &ended : m_replicas.takeEnded())
+        m_crashes.onServerEnded(ended.incarnation, ended.evidence, now);
     m_crashes.tick(now);
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -35,6 +35,7 @@
 struct Admission
 {
     Refusal refusal = Refusal::None;
+    Duration refusedFor{0};                  ///< Of Refusal::Quarantined.
     std::shared_ptr<const RouteTable> table; ///< Keeps `route` and `organisation` alive.
     const Route *route = nullptr;
     const Organisation *organisation = nullptr; ///< Null on public routes.
@@ -82,9 +83,15 @@
 
     void onSent(Replica &replica, const RequestFacts &request, TimePoint now);
     void onLoadReport(Replica &replica, const AnswerFacts::Load &load, TimePoint now);
+    /// A good answer began `waited` after the request was sent.
     void onAnswer(Replica &replica, Duration waited, TimePoint now);
     void onFailure(Replica &replica, TimePoint now);
-    void onUnreachable(Replica &replica, TimePoint now);
+    /// No connection could be made for a request; `isRefused`: nothing listens at the address.
+    void onUnreachable(Replica &replica, bool isRefused, TimePoint now);
+    /// The same, found without a request.
+    void onSeenUnreachable(Replica &replica, bool isRefused, TimePoint now);
+    /// Another server answers at its address.
+    void onOtherServer(const Replica &replica, TimePoint now);
     void onBrokenOff(Replica &replica, TimePoint now);
     void onAbandoned(Replica &replica, Duration waited, TimePoint now);
     /// The request holds no place at the server any more.
--- a/src/dispatch/replicahealth.cpp
+++ b/src/dispatch/replicahealth.cpp
@@ -71,11 +71,16 @@
 }
 
 void ReplicaHealth::onUnreachable(TimePoint now)
+{
+    onSeenUnreachable(now);
+    endWait(now);
+}
+
+void ReplicaHealth::onSeenUnreachable(TimePoint now)
 {
     m_failureShare += kFailureWeight * (1 - m_failureShare);
     m_unreachable = true;
     setAside(now);
-    endWait(now);
 }
 
 void ReplicaHealth::onAbandoned(Duration waited, Duration usualWait, double usualShare,
--- a/src/dispatch/replicahealth.h
+++ b/src/dispatch/replicahealth.h
@@ -18,8 +18,10 @@
     /// The server answered with a failure of its own or broke off. `usualShare`: of failures at the
     /// service's other servers.
     void onFailure(double usualShare, TimePoint now);
-    /// No connection could be made, or the one that was open is dead.
+    /// No connection could be made for the request.
     void onUnreachable(TimePoint now);
+    /// No connection could be made, without a request that waited for it.
+    void onSeenUnreachable(TimePoint now);
     /// The request was given up before an answer, `waited` after it was sent. After long enough a
     /// wait the server failed it.
     void onAbandoned(Duration waited, Duration usualWait, double usualShare, TimePoint now);
--- a/src/dispatch/replicatable.cpp
+++ b/src/dispatch/replicatable.cpp
@@ -37,6 +37,8 @@
     auto &replica = m_replicas[record.id];
     const bool isNew = !replica || replica->record.born != record.born;
     if (isNew) {
+        if (replica && !replica->isLeaving)
+            m_endedUnannounced.push_back({replica->incarnation, EndEvidence::Restarted});
         // A restarted server holds nothing of before, and neither does what was known of it.
         replica = std::make_shared<Replica>();
         replica->incarnation = incarnationOf(record);
@@ -74,6 +76,8 @@
 void ReplicaTable::erase(const BackendId &id, TimePoint now)
 {
     const auto found = m_replicas.find(id);
+    if (!found->second->isLeaving)
+        m_endedUnannounced.push_back({found->second->incarnation, EndEvidence::Unlisted});
     found->second->isLeaving = true;
     m_ended[id] = {found->second->record.born, found->second->record.sequence, now};
     m_replicas.erase(found);
--- a/src/dispatch/replicatable.h
+++ b/src/dispatch/replicatable.h
@@ -6,10 +6,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "comfrey/ids.h"
 #include "comfrey/units.h"
+#include "dispatch/crashguard.h"
 #include "dispatch/replicahealth.h"
 #include "dispatch/replicaload.h"
 
@@ -40,6 +42,13 @@
     ReplicaLoad load;
 };
 
+/// A server that ended though it had not said that it leaves.
+struct EndedReplica
+{
+    std::string incarnation;
+    EndEvidence evidence = EndEvidence::Unlisted;
+};
+
 class ReplicaTable
 {
 public:
@@ -58,6 +67,8 @@
     void onStoreLost(TimePoint now);
     void onStoreBack(TimePoint now);
     void tick(TimePoint now);
+    /// Servers that ended unannounced since the last call.
+    std::vector<EndedReplica> takeEnded() { return std::exchange(m_endedUnannounced, {}); }
 
     /// Servers that take new work, in the order of their ids.
     std::vector<std::shared_ptr<Replica>> serving(const ServiceName &service) const;
@@ -85,6 +96,7 @@
     std::map<BackendId, std::shared_ptr<Replica>> m_replicas;
     std::map<BackendId, Ended>
         m_ended; ///< Removed ones: a delayed report must not bring them back.
+    std::vector<EndedReplica> m_endedUnannounced;
     bool m_storeLost = false;
     TimePoint m_storeBackAt = TimePoint::min();
 };
--- a/src/gateway/crashnews.cpp
+++ b/src/gateway/crashnews.cpp
@@ -1,4 +1,5 @@
-// The key of a record is fingerprint and server; its order is the time of the crash.
+// The key of a record is fingerprint and server, or the fingerprint alone once the request ran
+// well; its order is the time at which a router found it out.
 #include "gateway/crashnews.h"
 
 #include <algorithm>
@@ -6,21 +7,25 @@
 
 namespace comfrey {
 
-namespace {
-
-constexpr Duration kMemory =
-    milliseconds(120000); // twice the term for which such a request is refused
-
-} // namespace
-
 bool CrashNews::tell(std::uint64_t wallTime, TimePoint now)
 {
     const std::vector<CrashNotice> notices = m_guard.takeNotices();
     for (const CrashNotice &notice : notices) {
         const std::string fingerprint = std::to_string(notice.request.value());
+        if (notice.server.empty()) {
+            LogLine(m_log, "crash-suspect-cleared", now).add("fingerprint", fingerprint);
+            m_feed.put({kTopic, fingerprint, std::string(), wallTime});
+            continue;
+        }
         LogLine(m_log, "server-crashed-under-request", now)
             .add("server", notice.server)
-            .add("fingerprint", fingerprint);
+            .add("fingerprint", fingerprint)
+            .add("evidence", nameOf(notice.evidence))
+            .add("after", notice.after)
+            .add("crashes", static_cast<std::int64_t>(m_guard.crashCount(notice.request)))
+            .add("refused_for", m_guard.refusedFor(notice.request, now));
+        m_metrics.count("comfrey_crashes_under_requests_total",
+                        "evidence=\"" + std::string(nameOf(notice.evidence)) + '"');
         m_feed.put({kTopic, fingerprint + ' ' + notice.server, std::string(), wallTime});
     }
     return !notices.empty();
@@ -28,23 +33,33 @@
 
 void CrashNews::take(const FeedRecord &record, TimePoint now)
 {
-    const std::size_t cut = record.key.find(' ');
-    std::uint64_t request = 0;
-    const char *end = record.key.data() + std::min(cut, record.key.size());
-    if (cut == std::string::npos
-        || std::from_chars(record.key.data(), end, request).ec != std::errc())
+    const std::size_t cut = std::min(record.key.find(' '), record.key.size());
+    const std::string_view fingerprint = std::string_view(record.key).substr(0, cut);
+    std::uint64_t number = 0;
+    const auto parsed =
+        std::from_chars(fingerprint.data(), fingerprint.data() + fingerprint.size(), number);
+    if (parsed.ec != std::errc()) {
+        LogLine(m_log, "crash-unreadable", now).add("key", record.key);
         return;
+    }
+    const Fingerprint request(number);
+    if (cut == record.key.size()) {
+        m_guard.onCleared(request);
+        return;
+    }
     const std::string server = record.key.substr(cut + 1);
-    if (m_guard.onCrash(Fingerprint(request), server, now))
+    if (m_guard.onCrash(request, server, now))
         LogLine(m_log, "crash-heard", now)
             .add("server", server)
-            .add("fingerprint", record.key.substr(0, cut))
-            .add("refused", m_guard.isRefused(Fingerprint(request), now) ? "yes" : "no");
+            .add("fingerprint", fingerprint)
+            .add("crashes", static_cast<std::int64_t>(m_guard.crashCount(request)))
+            .add("refused_for", m_guard.refusedFor(request, now));
 }
 
 void CrashNews::forgetOld(std::uint64_t wallTime)
 {
-    m_feed.forget(kTopic, wallTime - static_cast<std::uint64_t>(kMemory.count() / 1000));
+    m_feed.forget(kTopic,
+                  wallTime - static_cast<std::uint64_t>(CrashGuard::kMemory.count() / 1000));
 }
 
 } // namespace comfrey
--- a/src/gateway/crashnews.h
+++ b/src/gateway/crashnews.h
@@ -8,6 +8,7 @@
 #include "dispatch/crashguard.h"
 #include "routers/recordfeed.h"
 #include "telemetry/eventlog.h"
+#include "telemetry/metrics.h"
 
 namespace comfrey {
 
@@ -17,8 +18,8 @@
     /// Never in the platform's store.
     static constexpr const char *kTopic = "~crashes";
 
-    CrashNews(CrashGuard &guard, RecordFeed &feed, EventLog &log)
-        : m_guard(guard), m_feed(feed), m_log(log)
+    CrashNews(CrashGuard &guard, RecordFeed &feed, EventLog &log, Metrics &metrics)
+        : m_guard(guard), m_feed(feed), m_log(log), m_metrics(metrics)
     { }
 
     /// Puts into the feed what this router found out since the last call. True if it is anything.
@@ -33,6 +34,7 @@
     CrashGuard &m_guard;
     RecordFeed &m_feed;
     EventLog &m_log;
+    Metrics &m_metrics;
 };
 
 } // namespace comfrey
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -25,7 +25,10 @@
 constexpr Duration kStartRetry =
     milliseconds(150); // a start reads the configuration in about 70 ms
 constexpr Duration kNoConfigRetry = milliseconds(500); // the store does not answer, or slowly
-constexpr Duration kQuarantineRetry = milliseconds(60000);
+/// A server that owed an answer for so long may have ended without a sign.
+constexpr Duration kLongSilence = milliseconds(1000);
+
+constexpr std::string_view kCrashedServers = "this request crashed the backend servers that ran it";
 
 std::string secondsText(Duration duration)
 {
@@ -85,7 +88,8 @@
         answer(401, "the API key is unknown");
         return true;
     case Refusal::Quarantined:
-        refuse(503, "this request crashed the backend servers that ran it", kQuarantineRetry);
+        m_gateway.parts().metrics.count("comfrey_requests_quarantined_total");
+        refuse(503, kCrashedServers, m_admission.refusedFor);
         return true;
     }
     return false;
@@ -193,6 +197,8 @@
 
 void Exchange::sendTo(const Choice &choice, TimePoint now)
 {
+    if (refuseIfQuarantined(now))
+        return;
     m_replica = choice.replica;
     if (!m_replica) {
         giveUp(SendEnd::NotSent, "no backend server takes work");
@@ -257,9 +263,11 @@
     const AnswerFacts facts = m_gateway.parts().codec.readAnswer(head);
     if (facts.load)
         dispatcher().onLoadReport(*m_replica, *facts.load, now);
+    if (facts.isGenuine)
+        dispatcher().crashes().onAnswered(m_replica->incarnation, m_sentAt);
     if (facts.isNotRun || facts.isOtherServer) {
         if (facts.isOtherServer)
-            dispatcher().replicas().disown(m_replica->record.id);
+            dispatcher().onOtherServer(*m_replica, now);
         m_relay = Relay::Discard;
         return;
     }
@@ -405,8 +413,9 @@
         afterSend(SendEnd::Failed, "the backend server answered with a failure");
         return;
     }
-    dispatcher().crashes().onSuccess(m_facts.fingerprint);
     const unsigned status = m_held.head.status;
+    if (status / 100 == 2)
+        dispatcher().crashes().onSuccess(m_facts.fingerprint);
     m_held.head.removeAll("Content-Length");
     m_caller->respond(status, std::move(m_held.head.fields), m_held.body);
     finish("answered", status, "");
@@ -428,10 +437,14 @@
 {
     if (!m_replica)
         return;
+    const TimePoint now = m_gateway.now();
+    const bool owesAnswer = m_connection && m_connection->hasSent() && m_relay == Relay::None;
+    if (owesAnswer && now - m_sentAt >= kLongSilence)
+        dispatcher().crashes().onUnanswered(m_facts.fingerprint, m_replica->incarnation, now);
     if (std::exchange(m_waitsForAnswer, false))
-        dispatcher().onAbandoned(*m_replica, m_gateway.now() - m_sentAt, m_gateway.now());
+        dispatcher().onAbandoned(*m_replica, now - m_sentAt, now);
     dispatcher().onEnded(*m_replica, m_facts);
-    freePlace(m_gateway.now());
+    freePlace(now);
     if (m_connection)
         std::exchange(m_connection, nullptr)->drop();
     m_replica = nullptr;
@@ -447,11 +460,12 @@
     m_placeEnd = wasSent ? PlaceEnd::Failed : PlaceEnd::Unreachable;
     if (!wasSent) {
         m_waitsForAnswer = false;
-        dispatcher().onUnreachable(*replica, now);
+        dispatcher().onUnreachable(*replica, kind == BreakKind::Refused, now);
         dropReplica();
         afterSend(SendEnd::NotSent,
                   kind == BreakKind::ConnectTimeout ? "no answer to the connection attempt"
-                                                    : "connection refused");
+                      : kind == BreakKind::Refused  ? "connection refused"
+                                                    : "no connection could be opened");
         return;
     }
     if (m_relay == Relay::Discard) {
@@ -461,7 +475,7 @@
         return;
     }
     if (kind == BreakKind::Closed)
-        dispatcher().crashes().onBrokenSend(m_facts.fingerprint, replica->incarnation, now);
+        dispatcher().crashes().onUnanswered(m_facts.fingerprint, replica->incarnation, now);
     if (m_relay == Relay::None)
         ++m_runs;
     if (std::exchange(m_waitsForAnswer, false)) {
@@ -471,8 +485,38 @@
     }
     dropReplica();
     m_held = {};
-    afterSend(SendEnd::Unknown,
-              kind == BreakKind::Malformed ? "the answer is malformed" : "the connection broke");
+    if (kind == BreakKind::Malformed)
+        afterSend(SendEnd::Unknown, "the answer is malformed");
+    else
+        afterBreak(replica, "the connection broke");
+}
+
+void Exchange::afterBreak(const std::shared_ptr<Replica> &replica, std::string_view reason)
+{
+    const auto goOn = [this, self = shared_from_this(), reason] {
+        if (m_caller)
+            afterSend(SendEnd::Unknown, reason);
+    };
+    // Who sends once more waits for the check: a request that ended its server is not to end many.
+    if (m_admission.route->mayRepeat()) {
+        m_gateway.checkServer(replica, goOn);
+        return;
+    }
+    m_gateway.checkServer(replica, [] {});
+    goOn();
+}
+
+bool Exchange::refuseIfQuarantined(TimePoint now)
+{
+    const Duration refusedFor = dispatcher().crashes().refusedFor(m_facts.fingerprint, now);
+    if (refusedFor <= Duration(0))
+        return false;
+    m_gateway.parts().metrics.count("comfrey_requests_quarantined_total");
+    if (m_runs == 0 && m_fallback.head.status == 0 && !m_caller->hasStarted())
+        refuse(503, kCrashedServers, refusedFor);
+    else
+        giveUp(SendEnd::Unknown, kCrashedServers);
+    return true;
 }
 
 void Exchange::afterSend(SendEnd end, std::string_view reason)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -67,6 +67,9 @@
     void endMalformed(std::string_view reason);
     void startStream();
     void deliverHeld();
+    /// A sending broke off; the server's process may have ended with it.
+    void afterBreak(const std::shared_ptr<Replica> &replica, std::string_view reason);
+    bool refuseIfQuarantined(TimePoint now);
     /// The present sending ended without an answer for the caller: sends once more or gives up.
     void afterSend(SendEnd end, std::string_view reason);
     void giveUp(SendEnd end, std::string_view reason);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,15 +2,11 @@
 #include "gateway/gateway.h"
 
 #include "gateway/exchange.h"
+#include "traffic/callerlistener.h"
 
 namespace comfrey {
 
-Gateway::Gateway(GatewayParts parts) : m_parts(std::move(parts)), m_startedAt(now())
-{
-    m_parts.pool.onIdleLost([this](const std::string &server) {
-        m_parts.dispatcher.crashes().onConnectionLost(server, now());
-    });
-}
+Gateway::Gateway(GatewayParts parts) : m_parts(std::move(parts)), m_startedAt(now()) { }
 
 Gateway::~Gateway() = default;
 
@@ -37,6 +33,40 @@
     return plainContent(reason);
 }
 
+void Gateway::checkServer(const std::shared_ptr<Replica> &replica, std::function<void()> then)
+{
+    auto &waiting = m_checks[replica->incarnation];
+    waiting.push_back(std::move(then));
+    if (waiting.size() > 1)
+        return;
+    const auto endpoint = parseEndpoint(replica->record.address.value());
+    if (!endpoint) {
+        onChecked(*replica, BreakKind::ConnectFailed);
+        return;
+    }
+    m_parts.pool.probe(
+        replica->incarnation, *endpoint, kCheckLimit, now(),
+        [this, replica](std::optional<BreakKind> failure) { onChecked(*replica, failure); });
+}
+
+void Gateway::onChecked(Replica &replica, std::optional<BreakKind> failure)
+{
+    const bool isRefused = failure == BreakKind::Refused;
+    const std::string_view outcome = !failure  ? "it accepts connections"
+        : isRefused                            ? "it refuses connections"
+        : failure == BreakKind::ConnectTimeout ? "no answer"
+                                               : "no connection could be opened here";
+    LogLine(m_parts.log, "server-checked", now())
+        .add("server", replica.incarnation)
+        .add("outcome", outcome);
+    m_parts.metrics.count("comfrey_server_checks_total", "outcome=\"" + std::string(outcome) + '"');
+    if (isRefused || failure == BreakKind::ConnectTimeout)
+        m_parts.dispatcher.onSeenUnreachable(replica, isRefused, now());
+    const auto waiting = m_checks.extract(replica.incarnation);
+    for (const auto &then : waiting.mapped())
+        then();
+}
+
 void Gateway::ended(const std::shared_ptr<Exchange> &exchange)
 {
     m_exchanges.erase(exchange);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,10 +2,14 @@
 // one event loop.
 #pragma once
 
+#include <functional>
+#include <map>
 #include <memory>
+#include <optional>
+#include <string>
 #include <unordered_set>
-
 #include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -53,16 +57,25 @@
     TimePoint now() const { return m_parts.clock(); }
     /// True while the first read of the configuration is likely under way.
     bool isStarting() const { return now() - m_startedAt < kStartTime; }
+    /// Connects to a server at which a request broke off, to see whether its process lives; then
+    /// runs `then`.
+    void checkServer(const std::shared_ptr<Replica> &replica, std::function<void()> then);
     /// The exchange has ended.
     void ended(const std::shared_ptr<Exchange> &exchange);
 
 private:
     static constexpr Duration kStartTime = milliseconds(500); // several reads of the store
+    /// A way of 10 ms between zones, twice. No answer within it says nothing of the process.
+    static constexpr Duration kCheckLimit = milliseconds(50);
+
+    void onChecked(Replica &replica, std::optional<BreakKind> failure);
 
     GatewayParts m_parts;
     TimePoint m_startedAt;
     CallerLimits m_defaultLimits;                              ///< Before the first configuration.
     std::unordered_set<std::shared_ptr<Exchange>> m_exchanges; ///< Requests under way.
+    /// Servers that are being checked, by incarnation, and who waits for the end.
+    std::map<std::string, std::vector<std::function<void()>>> m_checks;
     bool m_stopping = false;
 };
 
--- a/src/traffic/backendconnection.h
+++ b/src/traffic/backendconnection.h
@@ -21,8 +21,9 @@
 
 /// How a connection ended before its response was complete.
 enum class BreakKind : std::uint8_t {
-    Refused,        ///< The connection was not established: nothing was sent.
-    ConnectTimeout, ///< As above, with no answer at all from the address.
+    Refused,        ///< The connection was not established: nothing listens at the address.
+    ConnectTimeout, ///< Not established, with no answer at all from the address.
+    ConnectFailed,  ///< Not established for another reason, such as no descriptor left here.
     Closed,         ///< Ended after the request was handed to the network.
     Malformed,      ///< The bytes are no HTTP response.
 };
@@ -59,6 +60,9 @@
     /// onBroken() or drop().
     void send(std::string head, std::shared_ptr<const std::string> body, bool isHead,
               BackendListener *listener);
+    /// Connects without a request, within `limit`. `handler` hears how it failed; nothing if it is
+    /// open.
+    void open(Duration limit, std::function<void(std::optional<BreakKind>)> handler);
     /// Closes at once and tells the listener nothing more.
     void drop();
     /// While paused nothing more is read, so the sender is slowed down.
@@ -74,11 +78,9 @@
     bool isOpen() const { return m_isOpen || m_connecting; }
     /// What the Keep-Alive field of the last response allowed, if it did.
     std::optional<Duration> keepAliveLimit() const { return m_keepAliveLimit; }
-    /// Runs once if the other side ends the connection before it is used again.
-    void onIdleClose(std::function<void()> handler) { m_idleClose = std::move(handler); }
 
 private:
-    void connect();
+    void connect(Duration limit);
     void onConnected(const boost::system::error_code &error);
     void writeRequest();
     void read();
@@ -88,7 +90,6 @@
     bool takeHead();
     void fail(BreakKind kind);
     void close();
-    void closeIdle();
 
     boost::asio::io_context &m_loop;
     Endpoint m_endpoint;
@@ -101,8 +102,8 @@
     std::optional<ResponseParser> m_parser;
     std::string m_head; ///< Of the request that waits for the connection.
     std::shared_ptr<const std::string> m_body;
-    BackendListener *m_listener = nullptr; ///< Null while no request is under way.
-    std::function<void()> m_idleClose;
+    BackendListener *m_listener = nullptr;                  ///< Null while no request is under way.
+    std::function<void(std::optional<BreakKind>)> m_opened; ///< Of open(), until it is called.
     std::optional<Duration> m_keepAliveLimit;
     bool m_isHead = false;
     bool m_connecting = false;
--- a/src/traffic/backendpool.cpp
+++ b/src/traffic/backendpool.cpp
@@ -35,13 +35,26 @@
     // A fifth is kept for the way there and for clocks that run apart.
     const Duration limit =
         std::min(m_idleLimit, connection->keepAliveLimit().value_or(m_idleLimit) * 4 / 5);
-    connection->onIdleClose([this, server] {
-        if (m_idleLost)
-            m_idleLost(server);
-    });
     m_idle[server].push_back({connection, now + limit});
 }
 
+void BackendPool::probe(const std::string &server, const BackendConnection::Endpoint &endpoint,
+                        Duration limit, TimePoint now,
+                        std::function<void(std::optional<BreakKind>)> handler)
+{
+    ++m_opened;
+    const auto connection = std::make_shared<BackendConnection>(m_loop, endpoint, m_limits);
+    const std::weak_ptr<BackendConnection> weak = connection; // It holds the handler.
+    connection->open(limit,
+                     [this, server, weak, now,
+                      handler = std::move(handler)](const std::optional<BreakKind> &failure) {
+                         const auto opened = weak.lock();
+                         if (!failure && opened)
+                             giveBack(server, opened, now);
+                         handler(failure);
+                     });
+}
+
 void BackendPool::sweep(TimePoint now)
 {
     for (auto entry = m_idle.begin(); entry != m_idle.end();) {
--- a/src/traffic/backendpool.h
+++ b/src/traffic/backendpool.h
@@ -26,11 +26,11 @@
                     TimePoint now);
     /// Gives a connection back after its response; one that can't be used again is forgotten.
     void giveBack(const std::string &server, const Connection &connection, TimePoint now);
-    /// Called with the server whose idle connection ended from the other side.
-    void onIdleLost(std::function<void(const std::string &server)> handler)
-    {
-        m_idleLost = std::move(handler);
-    }
+    /// Connects to the server without a request; an open connection is kept for the next one.
+    /// `handler` hears how it failed; nothing if it is open.
+    void probe(const std::string &server, const BackendConnection::Endpoint &endpoint,
+               Duration limit, TimePoint now,
+               std::function<void(std::optional<BreakKind>)> handler);
     /// Closes connections that were idle for too long.
     void sweep(TimePoint now);
 
@@ -49,7 +49,6 @@
     Duration m_idleLimit;
     std::map<std::string, std::vector<Idle>> m_idle; ///< Last used at the back.
     std::uint64_t m_opened = 0;
-    std::function<void(const std::string &server)> m_idleLost;
 };
 
 } // namespace comfrey
