Servers' own words: one that leaves gets nothing new, one that wants a pause is let alone

Cause: no answer of a server was read for Server-Leaving or Retry-After. A server that said that it leaves got work until the list told so, which takes as long as the store is away; one that asked for a pause was asked again at once.

Change: AnswerFacts has both words. Leaving is kept by incarnation, listed or not, and told to other routers (LeavingNews) and the keeper of a shared queue; the field does not reach callers. A pause is kept by incarnation at this router.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr double kWaitWeight = 0.05; ///< Of one answer in a service's smoothed wait.
+constexpr Duration kLongestPause = milliseconds(300000); // then its word is asked for again
 constexpr std::uint32_t kMostSends =
     4; ///< Of one request, when servers do not run it: more is no help in time.
 
@@ -65,10 +66,19 @@
     std::erase_if(input.replicas, [&](const auto &replica) {
         return std::find(tried.begin(), tried.end(), replica->incarnation) != tried.end();
     });
+    const auto paused = static_cast<std::uint32_t>(std::erase_if(
+        input.replicas, [now](const auto &replica) { return now < replica->pausedUntil; }));
     input.usualWait = usualWait(serviceName);
     input.tieBreak = m_random();
-    if (request.prompt.empty())
-        return m_waitChooser.choose(request, input, now);
+    Choice choice = request.prompt.empty() ? m_waitChooser.choose(request, input, now)
+                                           : chooseForPrompt(request, input, now);
+    choice.paused = paused;
+    return choice;
+}
+
+Choice Dispatcher::chooseForPrompt(const RequestFacts &request, ChoiceInput &input,
+                                   TimePoint now) const
+{
     const std::uint32_t prompt = promptHash(request);
     for (const RequestCounts *counts : {&m_ownPrompts, &m_othersPrompts}) {
         if (const auto found = counts->find(prompt); found != counts->end())
@@ -77,15 +87,33 @@
     return m_promptChooser.choose(request, input, now);
 }
 
+std::shared_ptr<Replica> Dispatcher::granted(const ServiceName &service,
+                                             std::uint32_t incarnationHash, TimePoint now) const
+{
+    auto replica = m_replicas.servingBy(service, incarnationHash);
+    return replica && now >= replica->pausedUntil ? replica : nullptr;
+}
+
+std::optional<Duration> Dispatcher::pauseOfAll(const ServiceName &service, TimePoint now) const
+{
+    TimePoint first = kNever;
+    for (const auto &replica : m_replicas.serving(service))
+        first = std::min(first, replica->pausedUntil);
+    if (first == kNever || first <= now)
+        return std::nullopt;
+    return first - now;
+}
+
 std::vector<std::uint32_t> Dispatcher::unwanted(const ServiceName &service,
                                                 const std::vector<std::string> &tried,
                                                 TimePoint now) const
 {
     std::vector<std::uint32_t> excluded;
     std::vector<std::uint32_t> doubtful;
-    const auto replicas = m_replicas.serving(service);
+    const auto replicas = m_replicas.alive(service);
     for (const auto &replica : replicas) {
-        if (std::find(tried.begin(), tried.end(), replica->incarnation) != tried.end())
+        if (replica->isLeaving || now < replica->pausedUntil
+            || std::find(tried.begin(), tried.end(), replica->incarnation) != tried.end())
             excluded.push_back(replica->incarnationHash);
         else if (replica->health.isDoubtful(usualWait(service), now))
             doubtful.push_back(replica->incarnationHash);
@@ -116,6 +144,12 @@
     replica.health.onSent(now);
 }
 
+Duration Dispatcher::onPause(Replica &replica, Duration pause, TimePoint now)
+{
+    replica.pausedUntil = std::max(replica.pausedUntil, now + std::min(pause, kLongestPause));
+    return replica.pausedUntil - now;
+}
+
 void Dispatcher::onLoadReport(Replica &replica, const AnswerFacts::Load &load, TimePoint now)
 {
     replica.load.onReport(load.running, load.waiting, now);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -72,8 +72,14 @@
     /// A server for the request, other than those in `tried`. Null if there is none.
     Choice choose(const RequestFacts &request, const ServiceName &service,
                   const std::vector<std::string> &tried, TimePoint now);
+    /// The server that a place in the shared queue is at; null if it takes no work from here.
+    std::shared_ptr<Replica> granted(const ServiceName &service, std::uint32_t incarnationHash,
+                                     TimePoint now) const;
+    /// If all servers of the service want nothing now: until the first of them does again.
+    std::optional<Duration> pauseOfAll(const ServiceName &service, TimePoint now) const;
     /// Servers of the service that a request that was sent to `tried` is not to go to, by the hash
-    /// of their incarnations: those, and those in doubt while there are others.
+    /// of their incarnations: those, those that leave or want nothing now, and those in doubt while
+    /// there are others.
     std::vector<std::uint32_t> unwanted(const ServiceName &service,
                                         const std::vector<std::string> &tried, TimePoint now) const;
     /// True if the request may go to another server after `sends` sendings of which `runs` may have
@@ -82,6 +88,9 @@
                    TimePoint now);
 
     void onSent(Replica &replica, const RequestFacts &request, TimePoint now);
+    /// The server wants nothing from this router for a while. Returns for how long that is kept:
+    /// no server sets itself aside for ever.
+    Duration onPause(Replica &replica, Duration pause, TimePoint now);
     void onLoadReport(Replica &replica, const AnswerFacts::Load &load, TimePoint now);
     /// A good answer began `waited` after the request was sent.
     void onAnswer(Replica &replica, Duration waited, TimePoint now);
@@ -120,6 +129,7 @@
 
     Service &service(const ServiceName &name);
     double usualFailureShare(const Replica &except) const;
+    Choice chooseForPrompt(const RequestFacts &request, ChoiceInput &input, TimePoint now) const;
 
     DispatcherSettings m_settings;
     std::shared_ptr<const RouteTable> m_table; ///< Null before the first configuration.
--- a/src/dispatch/replicachooser.h
+++ b/src/dispatch/replicachooser.h
@@ -24,13 +24,14 @@
 
 struct Choice
 {
-    std::shared_ptr<Replica> replica; ///< Null only if there is no replica at all.
+    std::shared_ptr<Replica> replica; ///< Null only if no replica takes work.
     std::shared_ptr<Replica>
         promptSource;        ///< Likely has cached prompt parts that `replica` lacks; may be null.
     const char *reason = ""; ///< For the log.
     double load = 0;         ///< Estimate of the replica's requests that the choice went by.
     double bound = 0;        ///< Load that it was held against; 0 if none.
     double promptRequests = 0; ///< Of the fleet about the same prompt, as known here.
+    std::uint32_t paused = 0;  ///< Servers that were left out since they want nothing now.
 };
 
 class ReplicaChooser
--- a/src/dispatch/replicatable.cpp
+++ b/src/dispatch/replicatable.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Duration kEndedMemory = milliseconds(60000); ///< Longer than any report is delayed.
+/// Bounds memory: more servers leave in no fleet within kLeavingMemory.
+constexpr std::size_t kMostLeaving = 16384;
 
 std::string incarnationOf(const ReplicaRecord &record)
 {
@@ -44,6 +46,10 @@
         replica->incarnation = incarnationOf(record);
         replica->incarnationHash = static_cast<std::uint32_t>(hashOf(replica->incarnation));
         replica->load.setSlots(record.slots);
+        replica->isLeaving = m_saidLeaving.count(replica->incarnation) > 0;
+        if (const auto ended = m_ended.find(record.id);
+            ended != m_ended.end() && ended->second.born == record.born)
+            replica->pausedUntil = ended->second.pausedUntil;
     }
     const bool changed = isNew || replica->isLeaving != record.isDraining
         || replica->record.address != record.address || replica->record.service != record.service;
@@ -79,7 +85,8 @@
     if (!found->second->isLeaving)
         m_endedUnannounced.push_back({found->second->incarnation, EndEvidence::Unlisted});
     found->second->isLeaving = true;
-    m_ended[id] = {found->second->record.born, found->second->record.sequence, now};
+    m_ended[id] = {found->second->record.born, found->second->record.sequence,
+                   found->second->pausedUntil, now};
     m_replicas.erase(found);
 }
 
@@ -90,6 +97,17 @@
         found->second->isLeaving = true;
 }
 
+bool ReplicaTable::onSaidLeaving(const std::string &incarnation, TimePoint now)
+{
+    if (m_saidLeaving.size() >= kMostLeaving || !m_saidLeaving.emplace(incarnation, now).second)
+        return false;
+    const auto found = m_replicas.find(BackendId(incarnation.substr(0, incarnation.rfind('@'))));
+    if (found != m_replicas.end() && found->second->incarnation == incarnation)
+        found->second->isLeaving = true;
+    m_newlyLeaving.push_back(incarnation);
+    return true;
+}
+
 void ReplicaTable::onStoreLost(TimePoint)
 {
     m_storeLost = true;
@@ -114,6 +132,8 @@
         erase(id, now);
     std::erase_if(m_ended,
                   [now](const auto &entry) { return now - entry.second.at > kEndedMemory; });
+    std::erase_if(m_saidLeaving,
+                  [now](const auto &entry) { return now - entry.second > kLeavingMemory; });
 }
 
 std::vector<std::shared_ptr<Replica>> ReplicaTable::serving(const ServiceName &service) const
--- a/src/dispatch/replicatable.h
+++ b/src/dispatch/replicatable.h
@@ -38,6 +38,8 @@
     std::uint32_t incarnationHash = 0; ///< Names it between routers.
     bool isLeaving = false;            ///< Gets no new work.
     TimePoint doubtedUntil = kNever;   ///< Its record lapsed with the store; gone after that time.
+    /// It wants nothing from this router until then.
+    TimePoint pausedUntil = TimePoint::min();
     ReplicaHealth health;
     ReplicaLoad load;
 };
@@ -52,6 +54,9 @@
 class ReplicaTable
 {
 public:
+    /// For how long a server's word that it leaves is kept: longer than it takes to leave.
+    static constexpr Duration kLeavingMemory = milliseconds(600000);
+
     /// `lapseGrace`: how long a server whose record lapsed while the store was down may take to be
     /// listed again; shorter than the time within which a leaving server must get no more work.
     explicit ReplicaTable(Duration lapseGrace) : m_lapseGrace(lapseGrace) { }
@@ -61,6 +66,11 @@
     void remove(const BackendId &id, TimePoint now);
     /// The server itself said that another one has its address.
     void disown(const BackendId &id);
+    /// The server itself said that it leaves, here or to another router. Holds for the incarnation,
+    /// listed or not, whatever the list says. False if that was known.
+    bool onSaidLeaving(const std::string &incarnation, TimePoint now);
+    /// Incarnations that said so and became known since the last call.
+    std::vector<std::string> takeSaidLeaving() { return std::exchange(m_newlyLeaving, {}); }
 
     /// Between the two, and for the grace after, a missing record does not mean a server that
     /// left.
@@ -86,6 +96,7 @@
     {
         std::uint64_t born = 0;
         std::uint64_t sequence = 0;
+        TimePoint pausedUntil;
         TimePoint at;
     };
 
@@ -96,6 +107,8 @@
     std::map<BackendId, std::shared_ptr<Replica>> m_replicas;
     std::map<BackendId, Ended>
         m_ended; ///< Removed ones: a delayed report must not bring them back.
+    std::map<std::string, TimePoint> m_saidLeaving; ///< By incarnation: when it became known.
+    std::vector<std::string> m_newlyLeaving;
     std::vector<EndedReplica> m_endedUnannounced;
     bool m_storeLost = false;
     TimePoint m_storeBackAt = TimePoint::min();
--- a/src/dispatch/requestfacts.h
+++ b/src/dispatch/requestfacts.h
@@ -37,6 +37,9 @@
     bool isGenuine = false;     ///< Bears the server's signature, unencoded.
     bool isNotRun = false;      ///< The server says that it did not run the request.
     bool isOtherServer = false; ///< Another server has the address.
+    bool isLeaving = false;     ///< The server says that it leaves.
+    /// The server turned the request away and wants nothing from this router for so long.
+    std::optional<Duration> pause;
     struct Load
     {
         std::uint32_t running = 0;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -25,6 +25,8 @@
 constexpr Duration kStartRetry =
     milliseconds(150); // a start reads the configuration in about 70 ms
 constexpr Duration kNoConfigRetry = milliseconds(500); // the store does not answer, or slowly
+/// Over so long the callers that come back after a pause of all servers are spread.
+constexpr Duration kReturnSpread = milliseconds(300); // some dozen answers of a small service
 /// A server that owed an answer for so long may have ended without a sign.
 constexpr Duration kLongSilence = milliseconds(1000);
 
@@ -128,6 +130,10 @@
 void Exchange::sendToReplica()
 {
     const TimePoint now = m_gateway.now();
+    if (const auto pause = dispatcher().pauseOfAll(m_admission.service, now)) {
+        refuseForPause(*pause, now);
+        return;
+    }
     const PlaceSource *places = m_gateway.parts().places;
     const bool isPlain = m_facts.prompt.empty() && m_admission.route->kind != RouteKind::Stream;
     if (places && isPlain && places->isShared(m_admission.service, now))
@@ -173,7 +179,7 @@
     }
     Choice choice;
     choice.replica = reply.verdict == PlaceReply::Verdict::Granted
-        ? dispatcher().replicas().servingBy(m_admission.service, reply.server)
+        ? dispatcher().granted(m_admission.service, reply.server, now)
         : nullptr;
     if (!choice.replica) {
         // Nobody keeps the queue, or it is behind the list of servers here.
@@ -233,10 +239,14 @@
         .add("bound_tenths", static_cast<std::int64_t>(choice.bound * 10))
         .add("load_age", m_replica->load.age(now))
         .add("prompt_requests", static_cast<std::int64_t>(choice.promptRequests))
+        .add("paused", static_cast<std::int64_t>(choice.paused))
         .add("left", delivery.timeLeft)
         .add("prompt_from",
              choice.promptSource ? std::string_view(choice.promptSource->record.id.value())
                                  : "none");
+    if (choice.paused > 0)
+        m_gateway.parts().metrics.count("comfrey_sends_held_back_total",
+                                        "service=\"" + m_admission.service.value() + "\"");
     m_sentAt = now;
     m_relay = Relay::None;
     m_waitsForAnswer = true;
@@ -250,6 +260,7 @@
 {
     if (m_gateway.parts().codec.belongsTo(head, m_facts.id))
         return true;
+    takeServersWord(m_gateway.parts().codec.readAnswer(head), m_gateway.now());
     LogLine(m_gateway.parts().log, "answer-discarded", m_gateway.now())
         .add("request", m_facts.id)
         .add("server", m_replica->record.id.value())
@@ -261,6 +272,7 @@
 {
     const TimePoint now = m_gateway.now();
     const AnswerFacts facts = m_gateway.parts().codec.readAnswer(head);
+    takeServersWord(facts, now);
     if (facts.load)
         dispatcher().onLoadReport(*m_replica, *facts.load, now);
     if (facts.isGenuine)
@@ -280,6 +292,7 @@
     }
     ++m_runs;
     removeHopByHop(head);
+    m_gateway.parts().codec.hideFromCallers(head);
     const bool isStream = m_admission.route->kind == RouteKind::Stream && head.status == 200;
     if (isStream) {
         if (m_waitsForAnswer) {
@@ -302,6 +315,45 @@
     m_held = {std::move(head), {}};
 }
 
+void Exchange::takeServersWord(const AnswerFacts &facts, TimePoint now)
+{
+    const std::string &service = m_admission.service.value();
+    if (facts.isLeaving && dispatcher().replicas().onSaidLeaving(m_replica->incarnation, now)) {
+        LogLine(m_gateway.parts().log, "server-said-leaving", now)
+            .add("server", m_replica->incarnation)
+            .add("source", "its answer")
+            .add("request", m_facts.id);
+        m_gateway.parts().metrics.count("comfrey_servers_said_leaving_total",
+                                        "service=\"" + service + "\"");
+    }
+    if (!facts.pause)
+        return;
+    const Duration kept = dispatcher().onPause(*m_replica, *facts.pause, now);
+    LogLine(m_gateway.parts().log, "server-paused", now)
+        .add("server", m_replica->incarnation)
+        .add("request", m_facts.id)
+        .add("asked", *facts.pause)
+        .add("kept", kept);
+    m_gateway.parts().metrics.count("comfrey_server_pauses_total", "service=\"" + service + "\"");
+}
+
+void Exchange::refuseForPause(Duration pause, TimePoint now)
+{
+    if (m_runs > 0 || m_fallback.head.status != 0 || m_caller->hasStarted()) {
+        giveUp(SendEnd::Unknown, "all backend servers want a pause");
+        return;
+    }
+    m_gateway.parts().metrics.count("comfrey_requests_refused_for_pause_total",
+                                    "service=\"" + m_admission.service.value() + "\"");
+    // Who has least time left comes first.
+    const double share = std::clamp(static_cast<double>((m_answerBy - now).count())
+                                        / static_cast<double>(m_admission.route->timeout.count()),
+                                    0.0, 1.0);
+    const auto spread =
+        Duration(static_cast<std::int64_t>(share * static_cast<double>(kReturnSpread.count())));
+    refuse(503, "all backend servers want a pause", pause + spread);
+}
+
 void Exchange::onBody(std::string_view bytes)
 {
     switch (m_relay) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -73,6 +73,10 @@
     /// The present sending ended without an answer for the caller: sends once more or gives up.
     void afterSend(SendEnd end, std::string_view reason);
     void giveUp(SendEnd end, std::string_view reason);
+    /// What the server says of itself in any answer.
+    void takeServersWord(const AnswerFacts &facts, TimePoint now);
+    /// All servers want nothing for `pause`: the caller hears when to come back.
+    void refuseForPause(Duration pause, TimePoint now);
     void dropReplica();
     void refuse(unsigned status, std::string_view reason, Duration retryAfter);
     void answer(unsigned status, std::string_view reason);
--- a/src/gateway/headercodec.h
+++ b/src/gateway/headercodec.h
@@ -34,6 +34,8 @@
     virtual std::string writeRequest(const HttpHead &head, std::size_t bodyBytes,
                                      const Delivery &delivery) const = 0;
     virtual AnswerFacts readAnswer(const HttpHead &head) const = 0;
+    /// Removes from an answer what is between servers and routers.
+    virtual void hideFromCallers(HttpHead &head) const = 0;
     /// False if the answer names another request.
     virtual bool belongsTo(const HttpHead &head, const std::string &requestId) const = 0;
 };
--- a/tests/traffic/endingfleet.cpp
+++ b/tests/traffic/endingfleet.cpp
@@ -96,7 +96,7 @@
         return;
     }
     if (request.body != "end") {
-        connection.answer(request, "ran");
+        connection.answer(request, "ran", server.isLeaving ? "Server-Leaving: 1\r\n" : "");
         return;
     }
     m_ends.push_back(now());
--- a/tests/traffic/endingfleet.h
+++ b/tests/traffic/endingfleet.h
@@ -11,6 +11,7 @@
 
 #include "gateway/crashnews.h"
 #include "gateway/gateway.h"
+#include "gateway/leavingnews.h"
 #include "headers.h"
 #include "linkedrouter.h"
 
@@ -24,7 +25,8 @@
         : LinkedRouter(loop, name, 0, seed, true),
           pool(loop, {milliseconds(350), milliseconds(1500), 16384}, milliseconds(8000)),
           gateway({loop, dispatcher, headers, pool, log, metrics, now}),
-          callers(loop, gateway, now, 200), crashNews(dispatcher.crashes(), feed, log, metrics)
+          callers(loop, gateway, now, 200), crashNews(dispatcher.crashes(), feed, log, metrics),
+          leavingNews(dispatcher.replicas(), feed, log)
     {
         CPPUNIT_ASSERT(callers.listen("127.0.0.1:0"));
     }
@@ -34,6 +36,8 @@
         for (const FeedChange &change : feed.since(std::exchange(applied, feed.number()))) {
             if (change.record->topic == CrashNews::kTopic)
                 crashNews.take(*change.record, now());
+            else if (change.record->topic == LeavingNews::kTopic)
+                leavingNews.take(*change.record, now());
         }
     }
 
@@ -42,7 +46,8 @@
         if (link().readsStore())
             link().setStoreWorks(true);
         dispatcher.tick(now());
-        if (crashNews.tell(wallTime(), now())) {
+        const bool saysCrashes = crashNews.tell(wallTime(), now());
+        if (leavingNews.tell(wallTime()) || saysCrashes) {
             onFeedChanged();
             link().publish();
         }
@@ -61,6 +66,7 @@
     Gateway gateway;
     CallerListener callers;
     CrashNews crashNews;
+    LeavingNews leavingNews;
     std::uint64_t applied = 0; ///< Of the feed.
 };
 
@@ -87,6 +93,13 @@
     /// Statuses of the answers to requests with that body, in the order of their coming.
     const std::vector<unsigned> &statuses(const std::string &body) { return m_statuses[body]; }
     std::size_t openCalls() const { return m_calls.size(); }
+    /// Of a server, all that reached it.
+    std::size_t requestsAt(std::size_t server) const
+    {
+        return m_servers.at(server)->processes.back()->requestCount();
+    }
+    /// The server says in all its answers that it leaves.
+    void leave(std::size_t server) { m_servers.at(server)->isLeaving = true; }
     /// A server that starts again is listed so long after its start.
     Duration listedAfter{0};
     bool keepsPort = false; ///< Servers start again at their old address.
@@ -96,6 +109,7 @@
     {
         BackendId id;
         std::uint64_t born = 0;
+        bool isLeaving = false;
         std::vector<std::unique_ptr<ScriptedServer>> processes; ///< The last one may run.
     };
 
