Evacuation: servers of a zone that the operator empties get no new work

Cause: op/evacuate/ZONE was not read; only the key config of that topic was.

Change: the key is decoded in platform/, ReplicaTable takes no servers of such a zone for new work, wherever choices, places and repeats ask for them. Their cached prompts are still copied from.

Tests: ReplicaTableTest::serversOfAnEvacuatedZoneGetNothingUntilItIsTakenBack, ParsingTest::zoneThatIsEvacuatedIsReadFromItsKey.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -112,7 +112,7 @@
     std::vector<std::uint32_t> doubtful;
     const auto replicas = m_replicas.alive(service);
     for (const auto &replica : replicas) {
-        if (replica->isLeaving || now < replica->pausedUntil
+        if (!m_replicas.takesWork(*replica) || now < replica->pausedUntil
             || std::find(tried.begin(), tried.end(), replica->incarnation) != tried.end())
             excluded.push_back(replica->incarnationHash);
         else if (replica->health.isDoubtful(usualWait(service), now))
--- a/src/dispatch/replicatable.cpp
+++ b/src/dispatch/replicatable.cpp
@@ -108,6 +108,11 @@
     return true;
 }
 
+bool ReplicaTable::setEvacuated(const ZoneId &zone, bool isEvacuated)
+{
+    return isEvacuated ? m_evacuated.insert(zone).second : m_evacuated.erase(zone) > 0;
+}
+
 void ReplicaTable::onStoreLost(TimePoint)
 {
     m_storeLost = true;
@@ -140,7 +145,7 @@
 {
     std::vector<std::shared_ptr<Replica>> found;
     for (const auto &[id, replica] : m_replicas) {
-        if (!replica->isLeaving && replica->record.service == service)
+        if (takesWork(*replica) && replica->record.service == service)
             found.push_back(replica);
     }
     return found;
--- a/src/dispatch/replicatable.h
+++ b/src/dispatch/replicatable.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -72,6 +73,10 @@
     /// Incarnations that said so and became known since the last call.
     std::vector<std::string> takeSaidLeaving() { return std::exchange(m_newlyLeaving, {}); }
 
+    /// The operator empties a zone: its servers get no new work until it is taken back. False if
+    /// that was known.
+    bool setEvacuated(const ZoneId &zone, bool isEvacuated);
+
     /// Between the two, and for the grace after, a missing record does not mean a server that
     /// left.
     void onStoreLost(TimePoint now);
@@ -80,9 +85,13 @@
     /// Servers that ended unannounced since the last call.
     std::vector<EndedReplica> takeEnded() { return std::exchange(m_endedUnannounced, {}); }
 
+    bool takesWork(const Replica &replica) const
+    {
+        return !replica.isLeaving && m_evacuated.count(replica.record.zone) == 0;
+    }
     /// Servers that take new work, in the order of their ids.
     std::vector<std::shared_ptr<Replica>> serving(const ServiceName &service) const;
-    /// Also those that are leaving.
+    /// Also those that are leaving, or in a zone that is emptied.
     std::vector<std::shared_ptr<Replica>> alive(const ServiceName &service) const;
     std::shared_ptr<Replica> find(const BackendId &id) const;
     std::vector<std::shared_ptr<Replica>> all() const;
@@ -109,6 +118,7 @@
         m_ended; ///< Removed ones: a delayed report must not bring them back.
     std::map<std::string, TimePoint> m_saidLeaving; ///< By incarnation: when it became known.
     std::vector<std::string> m_newlyLeaving;
+    std::set<ZoneId> m_evacuated;
     std::vector<EndedReplica> m_endedUnannounced;
     bool m_storeLost = false;
     TimePoint m_storeBackAt = TimePoint::min();
--- a/tests/replicatabletest.cpp
+++ b/tests/replicatabletest.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(removalIsFollowedAtOnceWhileTheStoreIsThere);
     CPPUNIT_TEST(lapsedRecordIsDoubtedAndTakenBack);
     CPPUNIT_TEST(lapsedRecordThatStaysAwayIsGoneWithinTheDrainLimit);
+    CPPUNIT_TEST(serversOfAnEvacuatedZoneGetNothingUntilItIsTakenBack);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -57,6 +58,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), serving());
     }
 
+    void serversOfAnEvacuatedZoneGetNothingUntilItIsTakenBack()
+    {
+        ReplicaRecord before = record(1);
+        before.zone = ZoneId("z1");
+        m_table.put(before, at(0));
+        CPPUNIT_ASSERT(m_table.setEvacuated(ZoneId("z1"), true));
+        CPPUNIT_ASSERT(!m_table.setEvacuated(ZoneId("z1"), true));
+        ReplicaRecord later = before;
+        later.id = BackendId("e2");
+        m_table.put(later, at(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), serving());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_table.alive(ServiceName("llm")).size());
+        later.zone = ZoneId("z2");
+        later.sequence = 2;
+        m_table.put(later, at(20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), serving());
+        CPPUNIT_ASSERT(m_table.setEvacuated(ZoneId("z1"), false));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), serving());
+    }
+
     void restartUnderTheSameIdIsAnotherIncarnation()
     {
         m_table.put(record(50), at(0));
--- a/tests/traffic/parsingtest.cpp
+++ b/tests/traffic/parsingtest.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(replicaRecordIsRead);
     CPPUNIT_TEST(configIsRead);
     CPPUNIT_TEST(configThatLacksWhatRoutesNeedIsRefused);
+    CPPUNIT_TEST(zoneThatIsEvacuatedIsReadFromItsKey);
     CPPUNIT_TEST(requestFactsAreRead);
     CPPUNIT_TEST(requestNeedsOneHostAndOneId);
     CPPUNIT_TEST(answerFactsAreRead);
@@ -167,6 +168,13 @@
         CPPUNIT_ASSERT(config.error().text.find("host") != std::string::npos);
     }
 
+    void zoneThatIsEvacuatedIsReadFromItsKey()
+    {
+        CPPUNIT_ASSERT(platform::evacuatedZone("evacuate/ub-east") == ZoneId("ub-east"));
+        for (const char *other : {"config", "evacuate/", "evacuate", "x/evacuate/ub-east"})
+            CPPUNIT_ASSERT_MESSAGE(other, !platform::evacuatedZone(other));
+    }
+
     void requestFactsAreRead()
     {
         HttpHead head;
