Placement: the load bound goes by the whole service while a zone is emptied

Cause: a third of the engines was emptied (1.57 s) and idle; our mean counted those only that take new work, 1.5 times the service's.

Change: the bound goes by the mean over all engines that have not left, and is at least 1.2 times the mean of those that take work, which have to bear the load.

Test: ReplicaChooserTest::boundCountsTheIdleEnginesOfAnEvacuatedZone failed before.

--- a/src/dispatch/replicachooser.cpp
+++ b/src/dispatch/replicachooser.cpp
@@ -2,6 +2,7 @@
 #include "dispatch/replicachooser.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "placement/ranking.h"
 
@@ -81,11 +82,26 @@
     return best;
 }
 
-double PromptChooser::boundOf(const Replica &replica, double meanLoad)
+double PromptChooser::boundOf(const Replica &replica, double serviceMean, double openMean)
 {
     const double slots =
-        std::max<double>(replica.load.slots(), kFullFactor * meanLoad + kFullSpare);
-    return std::min(slots, kLoadFactor * meanLoad + kLoadSpare);
+        std::max<double>(replica.load.slots(), kFullFactor * serviceMean + kFullSpare);
+    const double bound = std::min(slots, kLoadFactor * serviceMean + kLoadSpare);
+    return serviceMean < openMean ? std::max(bound, kLeastFactor * openMean) : bound;
+}
+
+double PromptChooser::meanOfService(const ChoiceInput &input, TimePoint now)
+{
+    double total = 0;
+    std::size_t count = 0;
+    for (const ReplicaPointer &replica : input.alive) {
+        if (replica->isLeaving)
+            continue;
+        total += replica->load.estimate(now);
+        ++count;
+    }
+    return count == 0 ? std::numeric_limits<double>::infinity()
+                      : total / static_cast<double>(count);
 }
 
 Choice PromptChooser::choose(const RequestFacts &request, const ChoiceInput &input,
@@ -98,6 +114,7 @@
     for (const ReplicaPointer &replica : input.replicas)
         total += replica->load.estimate(now);
     const double mean = total / static_cast<double>(input.replicas.size());
+    const double serviceMean = std::min(mean, meanOfService(input, now));
 
     const std::uint64_t key = affinityKey(request);
     std::vector<Ranked> open; // Under their bound.
@@ -106,7 +123,8 @@
         if (rank(*replica, input.usualWait, now) > allowed)
             continue;
         const Ranked entry{rendezvousWeight(key, replica->record.id.value()),
-                           replica->load.estimate(now), boundOf(*replica, mean), &replica};
+                           replica->load.estimate(now), boundOf(*replica, serviceMean, mean),
+                           &replica};
         (entry.load + 1 <= entry.bound ? open : full).push_back(entry);
     }
     Choice choice;
--- a/src/dispatch/replicachooser.h
+++ b/src/dispatch/replicachooser.h
@@ -75,8 +75,12 @@
     static std::shared_ptr<Replica> usualHolder(std::uint64_t key, const Replica &chosen,
                                                 const ChoiceInput &input, TimePoint now);
 
-    /// Requests that a server takes before others with the same prompt do.
-    static double boundOf(const Replica &replica, double meanLoad);
+    /// The service's load by its servers, those that get no new work for now too: by it the fleet's
+    /// bound goes.
+    static double meanOfService(const ChoiceInput &input, TimePoint now);
+    /// Requests that a server takes before others with the same prompt do. `openMean`: of the
+    /// servers that take new work.
+    static double boundOf(const Replica &replica, double serviceMean, double openMean);
 
     // From the played loads of bench_placementload: 295 routers whose news are up to 1.2 s old.
     /// Times the mean load: within the fleet's bound of 2. With a hot prompt 0.025 of the
@@ -84,6 +88,9 @@
     /// with 1.4; 0.048, 0.065 and 0.085 of the usual load's requests have their prompt read.
     static constexpr double kLoadFactor = 1.6;
     static constexpr double kLoadSpare = 2; ///< Requests over it, so that small loads move nothing.
+    /// The servers that are left of a service have to bear its whole load: a bound under it would
+    /// open none of them.
+    static constexpr double kLeastFactor = 1.2;
     /// When all slots of a service are taken, a bound at the slots would leave a few servers open,
     /// and all routers would send there at once: 0.084 of the requests over the fleet's bound
     /// at 2.8 times the usual load, 0.013 with this. Times the mean load, and requests over that.
--- a/tests/replicachoosertest.cpp
+++ b/tests/replicachoosertest.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(overloadedEngineGivesWayToTheNextInRankWithItsPrompt);
     CPPUNIT_TEST(newEngineCopiesPromptsFromTheOneThatHadThem);
     CPPUNIT_TEST(leavingEngineIsStillACopySource);
+    CPPUNIT_TEST(boundCountsTheIdleEnginesOfAnEvacuatedZone);
     CPPUNIT_TEST(unreachableEngineIsNeitherChosenNorCopiedFrom);
     CPPUNIT_TEST(hotPromptStaysWithinTheFleetsBoundOnLoad);
     CPPUNIT_TEST(slowServerGetsLessOfAPlainService);
@@ -110,6 +111,25 @@
         CPPUNIT_ASSERT(next.promptSource == leaving);
     }
 
+    /// Bench: tsetseg-swarmline-now-grown hunt-b6be-3, LIMIT. Six engines of nine take new work and
+    /// hold 10 requests each; the other three are idle, so the fleet's bound is 2 x 6.7 + 3.
+    void boundCountsTheIdleEnginesOfAnEvacuatedZone()
+    {
+        ChoiceInput input{replicas(9, 48), {}, {}, 1};
+        input.alive = input.replicas;
+        input.replicas.resize(6);
+        for (const auto &replica : input.replicas) {
+            for (int request = 0; request < 10; ++request)
+                replica->load.onSent();
+        }
+        const auto first = m_prompts.choose(chat(5, 1), input, at(0)).replica;
+        for (int request = 10; request < 16; ++request)
+            first->load.onSent();
+        const Choice next = m_prompts.choose(chat(5, 1), input, at(0));
+        CPPUNIT_ASSERT(next.replica != first);
+        CPPUNIT_ASSERT(next.bound > 10);
+    }
+
     void unreachableEngineIsNeitherChosenNorCopiedFrom()
     {
         ChoiceInput input{replicas(6, 32), {}, {}, 1};
