Tests: the load of a zone that is emptied, against the fleet's bound on load

Change: PlacementPlay empties a share of the engines from a moment on; the load is the site's: 78 routers, 60 engines, a third of them emptied.

--- a/tests/placementloadtest.cpp
+++ b/tests/placementloadtest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(moreThanAllSlotsStaysWithinTheBound);
     CPPUNIT_TEST(hotPromptIsAnsweredOnTime);
     CPPUNIT_TEST(fewRoutersStayWithinTheBound);
+    CPPUNIT_TEST(emptiedZoneStaysWithinTheBound);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -70,6 +71,27 @@
         CPPUNIT_ASSERT(play(load).worstWindow <= kMostOver);
     }
 
+    /// Bench: tsetseg-swarmline-now-grown hunt-b6be-3. A zone of three is emptied, and its engines
+    /// count in the mean that the bound goes by.
+    void emptiedZoneStaysWithinTheBound()
+    {
+        PlacementLoad load;
+        load.routers = 78;
+        load.zones = 3;
+        load.engines = 60;
+        load.slots = 48;
+        load.zoneHold = milliseconds(260);
+        load.kinds = {{127, 190, 10512, 1300, 378, milliseconds(500)},
+                      {148, 220, 699, 130, 288, milliseconds(250)},
+                      {206, 310, 2041, 360, 27, milliseconds(300)}};
+        load.emptiedShare = 1.0 / 3;
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            load.seed = seed;
+            const double over = play(load).worstWindow;
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(over), over <= kMostOver);
+        }
+    }
+
 private:
     static PlacementLoad hotPrompt()
     {
--- a/tests/support/placementplay.cpp
+++ b/tests/support/placementplay.cpp
@@ -140,6 +140,11 @@
     ChoiceInput input;
     input.replicas = router.replicas;
     input.alive = router.replicas;
+    if (now - start() >= m_load.emptiedFrom) {
+        const auto emptied = static_cast<std::ptrdiff_t>(
+            m_load.emptiedShare * static_cast<double>(input.replicas.size()));
+        input.replicas.erase(input.replicas.begin(), input.replicas.begin() + emptied);
+    }
     input.tieBreak = m_random();
     const std::uint32_t prompt = promptHash(request);
     if (m_load.promptsAreTold)
--- a/tests/support/placementplay.h
+++ b/tests/support/placementplay.h
@@ -51,7 +51,9 @@
     std::size_t hotPrompts = 0; ///< With hotFactor: what is more is about that many prompts.
     Duration zoneHold = milliseconds(590);  ///< Of a router's ask in its zone.
     Duration crossHold = milliseconds(300); ///< Of a zone's ask.
-    bool promptsAreTold = true;             ///< Routers hear which prompts are much asked for.
+    double emptiedShare = 0; ///< Of the engines, which get no new work from emptiedFrom on.
+    Duration emptiedFrom = milliseconds(6000);
+    bool promptsAreTold = true; ///< Routers hear which prompts are much asked for.
     std::uint64_t seed = 1;
 };
 
