Routers: one that the store turns away follows another one steadily

In the logs the first router of a zone changed between reading the store and following another router every 0.1 to 0.2 s: 268 changes, 402 times a router began to follow another one, in 8 s.

Cause: that its own reads fail was known only while it read. Once it followed a router with fresh news it stopped reading, went first again, dropped that router and read anew. Whoever followed it lost it each time.

Change: after own reads fail, another router goes first for 0.3 s, twice as long each time, at most 2 s; while own reads are tried again, the other router's news go on.

Test: FleetLinkTest::firstRouterThatTheStoreTurnsAwayFollowsAnotherSteadily failed before (more than 5 changes in 3 s).

--- a/src/gateway/fleetlink.cpp
+++ b/src/gateway/fleetlink.cpp
@@ -39,6 +39,10 @@
     milliseconds(1500); ///< For all records, which take a while on a slow link.
 constexpr Duration kFollowLimit =
     milliseconds(900); ///< Without fresh news for so long, a router reads the store itself.
+/// The store may turn single routers away for seconds and serve others: until it is tried again, a
+/// router whose reads fail follows another one.
+constexpr Duration kFirstOwnRetry = milliseconds(300);
+constexpr Duration kLongestOwnRetry = milliseconds(2000); // most outages of a store last longer
 constexpr Duration kShortestHold = milliseconds(150);
 constexpr Duration kLongestHold =
     milliseconds(600); ///< With the way of the answer well under kFollowLimit.
@@ -227,15 +231,15 @@
             ask(*first, Purpose::Probe, now);
         return;
     }
-    const auto first =
-        m_directory.first(m_settings.self.zone, m_readsStore && m_store == StoreState::Fails, now);
+    const auto first = m_directory.first(m_settings.self.zone, doOwnReadsFail(now), now);
     const bool isFirst = first && first->name == m_settings.self.name;
     // The first router of a zone asks that of another one, so that one reads the store for all.
     const auto leader = isFirst ? m_directory.firstElsewhere(now) : first;
-    if (!leader)
-        m_followed.reset();
-    else if (!m_followed || m_followed->address != leader->address)
+    if (leader && (!m_followed || m_followed->address != leader->address))
         ask(*leader, Purpose::Probe, now);
+    // Another router's news go on until own reads work.
+    if (!leader && (m_store == StoreState::Works || !hasFreshNews(now)))
+        m_followed.reset();
     if (m_followed)
         ask(*m_followed, Purpose::Follow, now);
     const bool isNewsFresh = hasFreshNews(now);
@@ -547,6 +551,14 @@
 void FleetLink::setStoreWorks(bool works)
 {
     const bool stopsServing = !works && m_store == StoreState::Works;
+    if (works) {
+        m_ownFailures = 0;
+        m_ownRetryAt = TimePoint::min();
+    } else if (m_store != StoreState::Fails) {
+        m_ownRetryAt = m_clock()
+            + std::min(kLongestOwnRetry, kFirstOwnRetry * (1U << std::min(m_ownFailures, 4U)));
+        ++m_ownFailures;
+    }
     m_store = works ? StoreState::Works : StoreState::Fails;
     // Who relies on this router is to look elsewhere at once.
     if (stopsServing)
--- a/src/gateway/fleetlink.h
+++ b/src/gateway/fleetlink.h
@@ -134,6 +134,10 @@
     void addRecords(wire::NewsAnswerT &news, const wire::NewsAskT &ask);
     void learnRouter(const KnownRouter &router, std::uint64_t born);
     bool hasFreshNews(TimePoint now) const;
+    bool doOwnReadsFail(TimePoint now) const
+    {
+        return (m_readsStore && m_store == StoreState::Fails) || now < m_ownRetryAt;
+    }
     void decide(TimePoint now);
     void setReadsStore(bool reads, TimePoint now, std::string_view why);
     void exchange(TimePoint now);
@@ -182,6 +186,8 @@
     std::int64_t m_answerBytes = 0; ///< Of the last followed router's answer without records.
     bool m_readsStore = false;
     StoreState m_store = StoreState::Unknown;
+    std::uint32_t m_ownFailures = 0; ///< Times that own reads began to fail since they last worked.
+    TimePoint m_ownRetryAt = TimePoint::min(); ///< Until then another router goes first.
     bool m_stopping = false;
 };
 
--- a/tests/traffic/fleetlinktest.cpp
+++ b/tests/traffic/fleetlinktest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(routersThatStartBeforeTheirSeedsFindEachOtherLater);
     CPPUNIT_TEST(oneRouterReadsTheStoreForAllZones);
     CPPUNIT_TEST(anotherZoneReadsWhenTheReaderFails);
+    CPPUNIT_TEST(firstRouterThatTheStoreTurnsAwayFollowsAnotherSteadily);
     CPPUNIT_TEST(requestsOfAllZonesAreCountedOnce);
     CPPUNIT_TEST(onlyPromptsThatManyAskForAreTold);
     CPPUNIT_TEST(crashThatAFollowerSawReachesAllZones);
@@ -125,6 +126,37 @@
         }));
     }
 
+    /// Bench: tsetseg-swarmline-grown scale-2 --seed 194091286295. The store turned the first router
+    /// away and served others; it changed between reading and following five times a second.
+    void firstRouterThatTheStoreTurnsAwayFollowsAnotherSteadily()
+    {
+        startRouters();
+        LinkedRouter &first = reader();
+        m_failing = &first;
+        CPPUNIT_ASSERT(runRouters([&] {
+            return m_routers[0]->link().isFresh(now()) && m_routers[2]->link().isFresh(now())
+                && !first.link().readsStore();
+        }));
+        int begun = 0;
+        bool wasReading = false;
+        bool wasStale = false;
+        const TimePoint end = now() + milliseconds(3000);
+        runRouters([&] {
+            begun += first.link().readsStore() && !wasReading ? 1 : 0;
+            wasReading = first.link().readsStore();
+            wasStale = wasStale || !first.link().isFresh(now());
+            return now() >= end;
+        });
+        CPPUNIT_ASSERT(begun >= 1); // It finds out when the store serves it again.
+        CPPUNIT_ASSERT(begun <= 5);
+        CPPUNIT_ASSERT(!wasStale);
+        m_failing = nullptr;
+        CPPUNIT_ASSERT(runRouters([&] {
+            return first.link().readsStore() && !m_routers[0]->link().readsStore()
+                && !m_routers[2]->link().readsStore();
+        }));
+    }
+
     /// Prompts with few requests are left out: one of a zone, three of all others.
     void onlyPromptsThatManyAskForAreTold()
     {
