--- a/tests/traffic/fleetlinktest.cpp
+++ b/tests/traffic/fleetlinktest.cpp
@@ -126,8 +126,8 @@
         }));
     }
 
-    /// Bench: tsetseg-swarmline-grown scale-2 --seed 194091286295. The store turned the first router
-    /// away and served others; it changed between reading and following five times a second.
+    /// Bench: tsetseg-swarmline-grown scale-2 --seed 194091286295. The store turned the first
+    /// router away and served others; it changed between reading and following five times a second.
     void firstRouterThatTheStoreTurnsAwayFollowsAnotherSteadily()
     {
         startRouters();
--- a/tests/traffic/gatewaytest.cpp
+++ b/tests/traffic/gatewaytest.cpp
@@ -1,10 +1,7 @@
 // Requests through the gateway, with backend servers and callers that misbehave.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "gateway/gateway.h"
-#include "headers.h"
-#include "loopback.h"
-#include "traffic/callerlistener.h"
+#include "onerouter.h"
 
 using namespace comfrey;
 using namespace comfrey::loopback;
@@ -54,7 +51,7 @@
 
 } // namespace
 
-class GatewayTest : public CppUnit::TestFixture
+class GatewayTest : public CppUnit::TestFixture, protected OneRouter
 {
     CPPUNIT_TEST_SUITE(GatewayTest);
     CPPUNIT_TEST(answerReachesItsCallerUnchanged);
@@ -477,33 +474,10 @@
 private:
     void serve(const ScriptedServer &server)
     {
-        ReplicaRecord record;
-        record.id = BackendId("e" + std::to_string(m_dispatcher.replicas().size()));
-        record.service = ServiceName("s");
-        record.address = Endpoint(server.address());
-        record.slots = 8;
-        record.born = 1;
-        m_dispatcher.replicas().put(record, now());
+        OneRouter::serve(server, "e" + std::to_string(m_dispatcher.replicas().size()));
     }
 
-    RawCaller::Response call(const std::string &bytes)
-    {
-        RawCaller caller(m_loop, m_listener.port());
-        caller.send(bytes);
-        std::optional<RawCaller::Response> response;
-        CPPUNIT_ASSERT(
-            runUntil(m_loop, [&] { return (response = caller.takeResponse()).has_value(); }));
-        return *response;
-    }
-
-    boost::asio::io_context m_loop{1};
-    EventLog m_log{-1};
-    Metrics m_metrics;
-    platform::PlatformHeaders m_headers;
-    Dispatcher m_dispatcher{DispatcherSettings{}};
-    BackendPool m_pool{m_loop, {milliseconds(1000), milliseconds(3000), 16384}, milliseconds(8000)};
-    Gateway m_gateway{{m_loop, m_dispatcher, m_headers, m_pool, m_log, m_metrics, now}};
-    CallerListener m_listener{m_loop, m_gateway, now, 100};
+    RawCaller::Response call(const std::string &bytes) { return exchange(bytes); }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
--- /dev/null
+++ b/tests/traffic/onerouter.h
@@ -0,0 +1,56 @@
+// One router between callers and scripted servers on loopback, for fixtures to inherit.
+#pragma once
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <string>
+
+#include "gateway/gateway.h"
+#include "headers.h"
+#include "loopback.h"
+#include "traffic/callerlistener.h"
+
+namespace comfrey::loopback {
+
+class OneRouter
+{
+protected:
+    static ReplicaRecord recordOf(const ScriptedServer &server, const std::string &id)
+    {
+        ReplicaRecord record;
+        record.id = BackendId(id);
+        record.service = ServiceName("s");
+        record.address = Endpoint(server.address());
+        record.slots = 8;
+        record.born = 1;
+        return record;
+    }
+
+    void serve(const ScriptedServer &server, const std::string &id)
+    {
+        m_dispatcher.replicas().put(recordOf(server, id), now());
+    }
+
+    /// Sends the bytes of a request on a connection of its own and waits for the response.
+    RawCaller::Response exchange(const std::string &bytes)
+    {
+        RawCaller caller(m_loop, m_listener.port());
+        caller.send(bytes);
+        std::optional<RawCaller::Response> response;
+        CPPUNIT_ASSERT(
+            runUntil(m_loop, [&] { return (response = caller.takeResponse()).has_value(); }));
+        return *response;
+    }
+
+    boost::asio::io_context m_loop{1};
+    EventLog m_log{-1};
+    Metrics m_metrics;
+    platform::PlatformHeaders m_headers;
+    Dispatcher m_dispatcher{DispatcherSettings{}};
+    BackendPool m_pool{m_loop, {milliseconds(1000), milliseconds(3000), 16384}, milliseconds(8000)};
+    Gateway m_gateway{{m_loop, m_dispatcher, m_headers, m_pool, m_log, m_metrics, now}};
+    CallerListener m_listener{m_loop, m_gateway, now, 100};
+};
+
+} // namespace comfrey::loopback
--- a/tests/traffic/serverwordstest.cpp
+++ b/tests/traffic/serverwordstest.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "endingfleet.h"
+#include "onerouter.h"
 
 using namespace comfrey;
 using namespace comfrey::loopback;
@@ -21,7 +22,7 @@
 
 } // namespace
 
-class ServerWordsTest : public CppUnit::TestFixture
+class ServerWordsTest : public CppUnit::TestFixture, protected OneRouter
 {
     CPPUNIT_TEST_SUITE(ServerWordsTest);
     CPPUNIT_TEST(serverThatSaysSoInASuccessGetsNothingNew);
@@ -276,41 +277,12 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), pausing.requestCount());
     }
 
-    static ReplicaRecord recordOf(const ScriptedServer &server, const std::string &id)
-    {
-        ReplicaRecord record;
-        record.id = BackendId(id);
-        record.service = ServiceName("s");
-        record.address = Endpoint(server.address());
-        record.slots = 8;
-        record.born = 1;
-        return record;
-    }
-
-    void serve(const ScriptedServer &server, const std::string &id)
-    {
-        m_dispatcher.replicas().put(recordOf(server, id), now());
-    }
-
     RawCaller::Response call(const std::string &path, const std::string &fields = {})
     {
-        RawCaller caller(m_loop, m_listener.port());
-        caller.send("GET " + path + "x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q"
-                    + std::to_string(++m_ids) + "\r\n" + fields + "\r\n");
-        std::optional<RawCaller::Response> response;
-        CPPUNIT_ASSERT(
-            runUntil(m_loop, [&] { return (response = caller.takeResponse()).has_value(); }));
-        return *response;
+        return exchange("GET " + path + "x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q"
+                        + std::to_string(++m_ids) + "\r\n" + fields + "\r\n");
     }
 
-    boost::asio::io_context m_loop{1};
-    EventLog m_log{-1};
-    Metrics m_metrics;
-    platform::PlatformHeaders m_headers;
-    Dispatcher m_dispatcher{DispatcherSettings{}};
-    BackendPool m_pool{m_loop, {milliseconds(1000), milliseconds(3000), 16384}, milliseconds(8000)};
-    Gateway m_gateway{{m_loop, m_dispatcher, m_headers, m_pool, m_log, m_metrics, now}};
-    CallerListener m_listener{m_loop, m_gateway, now, 100};
     std::uint64_t m_ids = 0;
 };
 
