Routers: a removal counts from when it was first read; a new leader tells only what is new

Server i-408630c35a was removed without draining, read by the first router at 26.79 s; front-ub-north-12 lost its leader ("no answer in time"), heard of the removal at 28.12 s, and since it had taken the store for lost a moment before, kept the server for the grace of 2.2 s from then, until 30.3 s. Its last request went there at 30.33 s.

The grace for records that lapse with the store ran from when this router heard of the removal, so it added to the way of the news. And the news were late, since a router that changes its leader was told all records again: 115 servers and a configuration of 75 kB to each of 25 routers over a link of 10 Mbit/s.

A record travels with its age since the first read, and the grace runs from that. Asks and answers say by topic up to which offset everything is known; a leader tells only newer records, and differences where the base is known. The same offset, not that of the newest record heard of, is where a router goes on that begins to read the store: records in between were never read.

Tests, failing before: ReplicaTableTest::lapsedRecordThatIsHeardLateIsDoubtedFromWhenIt- WasRead, RouterNewsTest::routerThatChangesItsLeaderIsToldOnlyWhatItLacks, StoreTest:: recordsThatOtherRoutersDidNotTellAreRead. StoreTest::routerWhoseNewsComeFromOthersGoesOn- WhereTheyAre now says up to where the news were whole, which it took for granted.

--- a/src/dispatch/replicatable.cpp
+++ b/src/dispatch/replicatable.cpp
@@ -61,7 +61,7 @@
     return changed;
 }
 
-void ReplicaTable::remove(const BackendId &id, TimePoint now)
+void ReplicaTable::remove(const BackendId &id, TimePoint readAt, TimePoint now)
 {
     const auto found = m_replicas.find(id);
     if (found == m_replicas.end())
@@ -69,11 +69,11 @@
     const bool mayHaveLapsed =
         m_storeLost || (m_storeBackAt != TimePoint::min() && now < m_storeBackAt + m_lapseGrace);
     Replica &replica = *found->second;
-    if (mayHaveLapsed && !replica.isLeaving) {
-        // From now, not from the store's return: only the way to the store may have been cut, and
-        // then the server really left.
+    if (mayHaveLapsed && !replica.isLeaving && now < readAt + m_lapseGrace) {
+        // From when it was read, not from the store's return: only the way to the store may have
+        // been cut, and then the server really left.
         if (replica.doubtedUntil == kNever)
-            replica.doubtedUntil = now + m_lapseGrace;
+            replica.doubtedUntil = readAt + m_lapseGrace;
         return;
     }
     erase(id, now);
--- a/src/dispatch/replicatable.h
+++ b/src/dispatch/replicatable.h
@@ -63,8 +63,8 @@
     explicit ReplicaTable(Duration lapseGrace) : m_lapseGrace(lapseGrace) { }
     /// A record without a removal. False if it tells nothing new.
     bool put(const ReplicaRecord &record, TimePoint now);
-    /// The server's record was removed, or can't be read.
-    void remove(const BackendId &id, TimePoint now);
+    /// The server's record was removed, or can't be read; `readAt`: when the first router read so.
+    void remove(const BackendId &id, TimePoint readAt, TimePoint now);
     /// The server itself said that another one has its address.
     void disown(const BackendId &id);
     /// The server itself said that it leaves, here or to another router. Holds for the incarnation,
--- a/src/gateway/fleetlink.cpp
+++ b/src/gateway/fleetlink.cpp
@@ -43,6 +43,8 @@
 /// router whose reads fail follows another one.
 constexpr Duration kFirstOwnRetry = milliseconds(300);
 constexpr Duration kLongestOwnRetry = milliseconds(2000); // most outages of a store last longer
+/// Of a record: older ones are all the same.
+constexpr std::int64_t kMostAgeMs = 1000000000;
 constexpr Duration kShortestHold = milliseconds(150);
 constexpr Duration kLongestHold =
     milliseconds(600); ///< With the way of the answer well under kFollowLimit.
@@ -90,7 +92,26 @@
     return requests;
 }
 
-std::unique_ptr<wire::NewsRecordT> toWire(const FeedChange &change)
+std::vector<std::unique_ptr<wire::TopicKnownT>> toWire(const KnownOrders &known)
+{
+    std::vector<std::unique_ptr<wire::TopicKnownT>> topics;
+    for (const auto &[topic, order] : known) {
+        topics.push_back(std::make_unique<wire::TopicKnownT>());
+        topics.back()->topic = topic;
+        topics.back()->order = order;
+    }
+    return topics;
+}
+
+KnownOrders fromWire(const std::vector<std::unique_ptr<wire::TopicKnownT>> &topics)
+{
+    KnownOrders known;
+    for (const auto &topic : topics)
+        known[topic->topic] = topic->order;
+    return known;
+}
+
+std::unique_ptr<wire::NewsRecordT> toWire(const FeedChange &change, TimePoint now)
 {
     const FeedRecord &record = *change.record;
     auto news = std::make_unique<wire::NewsRecordT>();
@@ -98,6 +119,9 @@
     news->key = record.key;
     news->removed = !record.value;
     news->order = record.order;
+    if (record.readAt != TimePoint::min())
+        news->ageMs = static_cast<std::uint32_t>(
+            std::clamp<std::int64_t>((now - record.readAt).count() / 1000, 0, kMostAgeMs));
     news->isDelta = change.delta != nullptr;
     news->baseOrder = change.baseOrder;
     if (change.delta)
@@ -126,9 +150,10 @@
 }
 
 /// Nothing if the record tells the difference to one that `feed` does not have.
-std::optional<FeedRecord> fromWire(wire::NewsRecordT &news, const RecordFeed &feed)
+std::optional<FeedRecord> fromWire(wire::NewsRecordT &news, const RecordFeed &feed, TimePoint now)
 {
-    FeedRecord record{std::move(news.topic), std::move(news.key), std::nullopt, news.order};
+    FeedRecord record{std::move(news.topic), std::move(news.key), std::nullopt, news.order,
+                      now - milliseconds(news.ageMs)};
     if (news.removed)
         return record;
     std::string value(news.value.begin(), news.value.end());
@@ -294,6 +319,8 @@
     news.since = position.number;
     news.standing = m_settings.self.standing;
     news.noRecords = purpose == Purpose::Probe;
+    if (!news.routersOnly && !known.wantsWhole)
+        news.known = toWire(m_feed.knownOrders());
     const bool isNeighbour = router.zone == m_settings.self.zone;
     const Duration usualHold = isNeighbour ? holdTime() : kExchangePause;
     const Duration hold = purpose == Purpose::Follow ? usualHold : Duration(0);
@@ -380,10 +407,12 @@
     if (hadAll)
         known.all = known.routers;
     bool changed = false;
+    known.wantsWhole = hadAll ? false : known.wantsWhole;
     for (const auto &wireRecord : news.records) {
-        auto record = fromWire(*wireRecord, m_feed);
+        auto record = fromWire(*wireRecord, m_feed, m_clock());
         if (!record) {
             known.all = Position(); // The next answer tells everything.
+            known.wantsWhole = true;
             continue;
         }
         if (record->topic == kRouterTopic && record->value && record->key != m_settings.self.name) {
@@ -392,6 +421,10 @@
         }
         changed = m_feed.put(std::move(*record)) || changed;
     }
+    if (hadAll && !known.wantsWhole) {
+        for (const auto &[topic, order] : fromWire(news.known))
+            m_feed.setKnownUntil(topic, order);
+    }
     if (!changed)
         return;
     m_listener.onFeedChanged();
@@ -402,7 +435,7 @@
 {
     bool changed = false;
     for (const auto &wireRecord : ask.records) {
-        auto record = fromWire(*wireRecord, m_feed);
+        auto record = fromWire(*wireRecord, m_feed, m_clock());
         changed = (record && isLocal(record->topic) && m_feed.put(std::move(*record))) || changed;
     }
     if (!changed)
@@ -528,14 +561,17 @@
     std::vector<std::unique_ptr<wire::NewsRecordT>> records;
     for (const FeedChange &change : m_feed.since(since)) {
         if (isLocal(change.record->topic))
-            records.push_back(toWire(change));
+            records.push_back(toWire(change, m_clock()));
     }
     return records;
 }
 
 void FleetLink::addRecords(wire::NewsAnswerT &news, const wire::NewsAskT &ask)
 {
-    for (const FeedChange &change : m_feed.deltasSince(ask.source == m_source ? ask.since : 0)) {
+    const std::uint64_t since = ask.source == m_source ? ask.since : 0;
+    if (!ask.routersOnly)
+        news.known = toWire(m_feed.knownOrders());
+    for (const FeedChange &change : m_feed.deltasSince(since, fromWire(ask.known))) {
         if (change.record->topic == kRouterTopic) {
             const auto router = change.record->value ? routerOf(*change.record) : std::nullopt;
             if (router && router->zone.value() != ask.zone
@@ -544,7 +580,7 @@
         } else if (ask.routersOnly) {
             continue;
         }
-        news.records.push_back(toWire(change));
+        news.records.push_back(toWire(change, m_clock()));
     }
 }
 
--- a/src/gateway/fleetlink.h
+++ b/src/gateway/fleetlink.h
@@ -153,10 +153,11 @@
     /// What another router told.
     struct Known
     {
-        Position all;           ///< Of records of all topics.
-        Position routers;       ///< Of records of routers.
-        std::uint64_t told = 0; ///< This router's last change that it was told of for sure.
-        bool isAsked = false;   ///< An answer is outstanding.
+        Position all;            ///< Of records of all topics.
+        Position routers;        ///< Of records of routers.
+        std::uint64_t told = 0;  ///< This router's last change that it was told of for sure.
+        bool isAsked = false;    ///< An answer is outstanding.
+        bool wantsWhole = false; ///< A difference could not be applied: all records are wanted.
     };
 
     /// Records of local topics that changed after the change with that number.
--- a/src/routers/recordfeed.cpp
+++ b/src/routers/recordfeed.cpp
@@ -28,7 +28,7 @@
 }
 
 void RecordFeed::removeMissing(const std::string &topic, const std::vector<std::string> &listed,
-                               std::uint64_t end)
+                               std::uint64_t end, TimePoint now)
 {
     if (end == 0)
         return;
@@ -39,7 +39,7 @@
             missing.push_back(entry.record.key);
     }
     for (std::string &key : missing)
-        put({topic, std::move(key), std::nullopt, end - 1});
+        put({topic, std::move(key), std::nullopt, end - 1, now});
 }
 
 void RecordFeed::forget(const std::string &topic, std::uint64_t order)
@@ -61,13 +61,18 @@
     return changes;
 }
 
-std::vector<FeedChange> RecordFeed::deltasSince(std::uint64_t number)
+std::vector<FeedChange> RecordFeed::deltasSince(std::uint64_t number, const KnownOrders &known)
 {
     std::vector<FeedChange> changes;
     for (auto at = m_byNumber.upper_bound(number); at != m_byNumber.end(); ++at) {
         Entry &entry = *at->second;
+        const auto told = known.find(entry.record.topic);
+        const std::uint64_t knownUntil = told == known.end() ? 0 : told->second;
+        if (entry.record.order < knownUntil)
+            continue;
         FeedChange change{&entry.record, 0, nullptr};
-        if (!entry.lastValue.empty() && entry.record.value && number >= entry.lastNumber) {
+        const bool hasBase = number >= entry.lastNumber || entry.lastOrder < knownUntil;
+        if (!entry.lastValue.empty() && entry.record.value && hasBase) {
             if (entry.delta.empty())
                 entry.delta = makeDelta(entry.lastValue, *entry.record.value);
             change.baseOrder = entry.lastOrder;
@@ -78,6 +83,18 @@
     return changes;
 }
 
+void RecordFeed::setKnownUntil(const std::string &topic, std::uint64_t order)
+{
+    std::uint64_t &known = m_known[topic];
+    known = std::max(known, order);
+}
+
+std::uint64_t RecordFeed::knownUntil(const std::string &topic) const
+{
+    const auto found = m_known.find(topic);
+    return found == m_known.end() ? 0 : found->second;
+}
+
 std::uint64_t RecordFeed::nextOrder(const std::string &topic) const
 {
     std::uint64_t next = 0;
--- a/src/routers/recordfeed.h
+++ b/src/routers/recordfeed.h
@@ -9,6 +9,8 @@
 #include <utility>
 #include <vector>
 
+#include "comfrey/units.h"
+
 namespace comfrey {
 
 struct FeedRecord
@@ -17,8 +19,13 @@
     std::string key;
     std::optional<std::string> value; ///< None: the key was removed.
     std::uint64_t order = 0;          ///< Grows with each change of the key.
+    /// When the first router read it in the store, in this router's time; unknown by default.
+    TimePoint readAt = TimePoint::min();
 };
 
+/// By topic: all changes with a lower order are known, or newer ones of their keys.
+using KnownOrders = std::map<std::string, std::uint64_t>;
+
 /// A change of a key, and how it can be told in short to who knows the one before.
 struct FeedChange
 {
@@ -35,7 +42,7 @@
     /// Keys of `topic` that a whole list lacks are removed, unless they are newer than the list.
     /// `end`: one more than the order of the newest record that the list may hold.
     void removeMissing(const std::string &topic, const std::vector<std::string> &listed,
-                       std::uint64_t end);
+                       std::uint64_t end, TimePoint now);
 
     /// Drops the records of `topic` whose order is under `order`, without telling anyone.
     void forget(const std::string &topic, std::uint64_t order);
@@ -44,8 +51,13 @@
     std::uint64_t number() const { return m_number; }
     /// Changes after the one with that number, oldest first.
     std::vector<FeedChange> since(std::uint64_t number) const;
-    /// The same for a router that knows the earlier ones, with differences where they are shorter.
-    std::vector<FeedChange> deltasSince(std::uint64_t number);
+    /// The same for a router that knows the earlier ones and those that `known` tells, with
+    /// differences where they are shorter.
+    std::vector<FeedChange> deltasSince(std::uint64_t number, const KnownOrders &known = {});
+    /// All changes of the topic under `order` are known from now on.
+    void setKnownUntil(const std::string &topic, std::uint64_t order);
+    std::uint64_t knownUntil(const std::string &topic) const;
+    const KnownOrders &knownOrders() const { return m_known; }
     /// One more than the highest order in the topic; 0 if nothing is known of it.
     std::uint64_t nextOrder(const std::string &topic) const;
     const FeedRecord *find(const std::string &topic, const std::string &key) const;
@@ -69,6 +81,7 @@
 
     std::map<Key, Entry> m_entries;
     std::map<std::uint64_t, Entry *> m_byNumber; ///< The last change of each key.
+    KnownOrders m_known;
     std::uint64_t m_number = 0;
 };
 
--- a/tests/crashguardtest.cpp
+++ b/tests/crashguardtest.cpp
@@ -159,7 +159,7 @@
         Dispatcher dispatcher{DispatcherSettings{}};
         dispatcher.replicas().put(record(1), at(0));
         dispatcher.crashes().onUnanswered(kRequest, "e1@1", at(2500));
-        dispatcher.replicas().remove(BackendId("e1"), at(4000));
+        dispatcher.replicas().remove(BackendId("e1"), at(4000), at(4000));
         dispatcher.tick(at(4010));
         CPPUNIT_ASSERT(onlyNotice(dispatcher).evidence == EndEvidence::Unlisted);
     }
@@ -170,7 +170,7 @@
         dispatcher.replicas().put(record(1), at(0));
         dispatcher.replicas().put(record(1, true), at(5));
         dispatcher.crashes().onUnanswered(kRequest, "e1@1", at(10));
-        dispatcher.replicas().remove(BackendId("e1"), at(2000));
+        dispatcher.replicas().remove(BackendId("e1"), at(2000), at(2000));
         dispatcher.tick(at(2010));
         CPPUNIT_ASSERT(dispatcher.crashes().takeNotices().empty());
     }
--- a/tests/replicatabletest.cpp
+++ b/tests/replicatabletest.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(removalIsFollowedAtOnceWhileTheStoreIsThere);
     CPPUNIT_TEST(lapsedRecordIsDoubtedAndTakenBack);
     CPPUNIT_TEST(lapsedRecordThatStaysAwayIsGoneWithinTheDrainLimit);
+    CPPUNIT_TEST(lapsedRecordThatIsHeardLateIsDoubtedFromWhenItWasRead);
     CPPUNIT_TEST(serversOfAnEvacuatedZoneGetNothingUntilItIsTakenBack);
     CPPUNIT_TEST_SUITE_END();
 
@@ -58,6 +59,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), serving());
     }
 
+    /// Bench: tsetseg-swarmline-grown scale-2 --seed 194091286295, DRAIN. The store turned single
+    /// routers away; one of them heard of a removal 1.4 s late and kept the server for the grace
+    /// after that.
+    void lapsedRecordThatIsHeardLateIsDoubtedFromWhenItWasRead()
+    {
+        m_table.put(record(1), at(0));
+        m_table.onStoreLost(at(1000));
+        m_table.remove(BackendId("e1"), at(600), at(2000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), serving());
+        m_table.tick(at(2300));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), serving());
+        m_table.put(record(2, false, 2), at(2400));
+        m_table.remove(BackendId("e1"), at(2500), at(4200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), serving());
+    }
+
     void serversOfAnEvacuatedZoneGetNothingUntilItIsTakenBack()
     {
         ReplicaRecord before = record(1);
@@ -93,7 +110,7 @@
     void delayedReportDoesNotBringBackRemovedServer()
     {
         m_table.put(record(5), at(0));
-        m_table.remove(BackendId("e1"), at(10));
+        m_table.remove(BackendId("e1"), at(10), at(10));
         CPPUNIT_ASSERT(!m_table.put(record(4), at(20)));
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), serving());
     }
@@ -101,7 +118,7 @@
     void removalIsFollowedAtOnceWhileTheStoreIsThere()
     {
         m_table.put(record(5), at(0));
-        m_table.remove(BackendId("e1"), at(10));
+        m_table.remove(BackendId("e1"), at(10), at(10));
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), serving());
     }
 
@@ -110,7 +127,7 @@
         m_table.put(record(5), at(0));
         m_table.onStoreLost(at(1000));
         m_table.onStoreBack(at(5000));
-        m_table.remove(BackendId("e1"), at(5100));
+        m_table.remove(BackendId("e1"), at(5100), at(5100));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), serving());
         m_table.put(record(6), at(6000));
         m_table.tick(at(9000));
@@ -123,7 +140,7 @@
     {
         m_table.put(record(5), at(0));
         m_table.onStoreLost(at(1000));
-        m_table.remove(BackendId("e1"), at(4900));
+        m_table.remove(BackendId("e1"), at(4900), at(4900));
         m_table.onStoreBack(at(5000));
         m_table.tick(at(4900) + kGrace);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), serving());
--- a/tests/routernewstest.cpp
+++ b/tests/routernewstest.cpp
@@ -1,6 +1,7 @@
 // What routers tell each other: newest records, differences, requests, and whom to ask.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <random>
 
 #include "routers/loaddigest.h"
@@ -35,6 +36,7 @@
     CPPUNIT_TEST(changesAreToldOnceAndInOrder);
     CPPUNIT_TEST(differenceIsToldOnlyToWhoKnowsTheRecordBefore);
     CPPUNIT_TEST(differenceToTheFirstRecordOfATopicIsMarked);
+    CPPUNIT_TEST(routerThatChangesItsLeaderIsToldOnlyWhatItLacks);
     CPPUNIT_TEST(anyDifferenceGivesTheTarget);
     CPPUNIT_TEST(differenceToAnotherBaseIsRefused);
     CPPUNIT_TEST(firstRouterIsTheSameForAllAndStrongOnesGoFirst);
@@ -64,7 +66,7 @@
         feed.put({"t", "listed", "1", 3});
         feed.put({"t", "gone", "2", 4});
         feed.put({"t", "newer", "3", 9});
-        feed.removeMissing("t", {"listed"}, 8);
+        feed.removeMissing("t", {"listed"}, 8, TimePoint());
         CPPUNIT_ASSERT(feed.find("t", "listed")->value);
         CPPUNIT_ASSERT(!feed.find("t", "gone")->value);
         CPPUNIT_ASSERT(feed.find("t", "newer")->value);
@@ -110,6 +112,28 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), change.baseOrder);
     }
 
+    /// Another leader knows nothing of what the one before told: 3,000 servers would come again.
+    void routerThatChangesItsLeaderIsToldOnlyWhatItLacks()
+    {
+        RecordFeed leader;
+        for (std::uint64_t order = 0; order < 3000; ++order)
+            leader.put({"servers", "e" + std::to_string(order), "x", order});
+        const std::string before(9000, 'a');
+        leader.put({"op", "config", before + "1", 7});
+        leader.put({"op", "config", before + "2", 9});
+        leader.put({"~routers", "r1", "x", 1});
+        const auto told = leader.deltasSince(0, {{"servers", 2998}, {"op", 8}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), told.size());
+        const auto config = std::find_if(told.begin(), told.end(), [](const FeedChange &change) {
+            return change.record->key == "config";
+        });
+        CPPUNIT_ASSERT(config != told.end() && config->delta && config->baseOrder == 7);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3002), leader.deltasSince(0).size());
+        // Without the version before, the whole value is told.
+        for (const FeedChange &change : leader.deltasSince(0, {{"op", 7}}))
+            CPPUNIT_ASSERT(!change.delta);
+    }
+
     void anyDifferenceGivesTheTarget()
     {
         std::mt19937_64 random(2);
--- a/tests/serverwordtest.cpp
+++ b/tests/serverwordtest.cpp
@@ -59,7 +59,7 @@
     void pauseOutlivesALapsedRecord()
     {
         m_dispatcher.onPause(server("e1"), milliseconds(5000), at(0));
-        m_dispatcher.replicas().remove(BackendId("e1"), at(10));
+        m_dispatcher.replicas().remove(BackendId("e1"), at(10), at(10));
         list("e1", 1, 1);
         CPPUNIT_ASSERT_EQUAL(std::string(), chosen({"e2@1"}, 100));
     }
--- a/tests/traffic/gatewaytest.cpp
+++ b/tests/traffic/gatewaytest.cpp
@@ -398,7 +398,7 @@
             connection.answer(request, "x");
         });
         serve(quick);
-        m_dispatcher.replicas().remove(BackendId("e0"), now());
+        m_dispatcher.replicas().remove(BackendId("e0"), now(), now());
         CPPUNIT_ASSERT_EQUAL(std::string("close"),
                              std::string(call(get("r2", "/once/x")).head.valueOf("Connection")));
     }
--- a/tests/traffic/serverwordstest.cpp
+++ b/tests/traffic/serverwordstest.cpp
@@ -110,7 +110,7 @@
         record.sequence = 5;
         m_dispatcher.replicas().put(record, now());
         CPPUNIT_ASSERT_EQUAL(503U, call("/once/").head.status);
-        m_dispatcher.replicas().remove(BackendId("e0"), now());
+        m_dispatcher.replicas().remove(BackendId("e0"), now(), now());
         record.sequence = 6;
         m_dispatcher.replicas().put(record, now());
         CPPUNIT_ASSERT_EQUAL(503U, call("/once/").head.status);
@@ -183,7 +183,7 @@
             serve(server, "e" + std::string(value));
             call("/once/");
             CPPUNIT_ASSERT_EQUAL_MESSAGE(value, 200U, call("/once/").head.status);
-            m_dispatcher.replicas().remove(BackendId("e" + std::string(value)), now());
+            m_dispatcher.replicas().remove(BackendId("e" + std::string(value)), now(), now());
         }
     }
 
@@ -271,7 +271,7 @@
             runFor(m_loop, milliseconds(20));
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), pausing.requestCount());
-        m_dispatcher.replicas().remove(BackendId("e1"), now());
+        m_dispatcher.replicas().remove(BackendId("e1"), now(), now());
         runFor(m_loop, milliseconds(100));
         CPPUNIT_ASSERT_EQUAL(200U, call("/once/").head.status);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), pausing.requestCount());
--- a/tests/traffic/storetest.cpp
+++ b/tests/traffic/storetest.cpp
@@ -129,6 +129,7 @@
     CPPUNIT_TEST(cutHistoryIsMadeGoodByTheNewestRecords);
     CPPUNIT_TEST(silentReadIsGivenUpOnceAnotherReadFailed);
     CPPUNIT_TEST(routerWhoseNewsComeFromOthersGoesOnWhereTheyAre);
+    CPPUNIT_TEST(recordsThatOtherRoutersDidNotTellAreRead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -231,9 +232,22 @@
     {
         m_store.history = {{"a", "1"}, {"a", "2"}, {"a", "3"}};
         m_feed.put({"keyed.t", "a", "2", 1});
+        m_feed.setKnownUntil("keyed.t", 2);
         auto follower = followStore();
         CPPUNIT_ASSERT(runUntil(m_loop, [&] { return m_feed.find("keyed.t", "a")->value == "3"; }));
         CPPUNIT_ASSERT_EQUAL(0, m_store.newestCalls);
+        CPPUNIT_ASSERT(runUntil(m_loop, [&] { return m_feed.knownUntil("keyed.t") == 3; }));
+    }
+
+    /// A newer record of another key was heard of, the ones before it were not.
+    void recordsThatOtherRoutersDidNotTellAreRead()
+    {
+        m_store.history = {{"a", "1"}, {"a", "2"}, {"b", "1"}};
+        m_store.newestItems = R"({"key":"a","value":"Mg==","offset":1},)"
+                              R"({"key":"b","value":"MQ==","offset":2})";
+        m_feed.put({"keyed.t", "b", "1", 2});
+        auto follower = followStore();
+        CPPUNIT_ASSERT(runUntil(m_loop, [&] { return m_feed.find("keyed.t", "a") != nullptr; }));
     }
 
 private:
