Crashing requests: a place is given back; pauses cost nothing while there are none

A refusal by the server itself did not count as a sign that it lives. Each request walked all servers to see whether all of them pause.

Change: the place is freed; a refusal counts as a sign of life; the replica is marked before the word is kept; the walk is made only while some pause is running.

Test: GatewayTest::placeOfARequestThatCrashedServersMeanwhileIsGivenBack failed before (0 places given back, expected 1). traffictests 107 of 107, comfreytests 257 and the known red one.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -96,6 +96,8 @@
 
 std::optional<Duration> Dispatcher::pauseOfAll(const ServiceName &service, TimePoint now) const
 {
+    if (now >= m_pausesEnd)
+        return std::nullopt;
     TimePoint first = kNever;
     for (const auto &replica : m_replicas.serving(service))
         first = std::min(first, replica->pausedUntil);
@@ -147,6 +149,7 @@
 Duration Dispatcher::onPause(Replica &replica, Duration pause, TimePoint now)
 {
     replica.pausedUntil = std::max(replica.pausedUntil, now + std::min(pause, kLongestPause));
+    m_pausesEnd = std::max(m_pausesEnd, replica.pausedUntil);
     return replica.pausedUntil - now;
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -135,6 +135,7 @@
     std::shared_ptr<const RouteTable> m_table; ///< Null before the first configuration.
     ReplicaTable m_replicas;
     std::map<ServiceName, Service> m_services;
+    TimePoint m_pausesEnd = TimePoint::min(); ///< No server pauses later.
     CrashGuard m_crashes;
     RequestCounts m_ownPrompts;
     RequestCounts m_othersPrompts;
--- a/src/dispatch/replicatable.cpp
+++ b/src/dispatch/replicatable.cpp
@@ -99,11 +99,11 @@
 
 bool ReplicaTable::onSaidLeaving(const std::string &incarnation, TimePoint now)
 {
-    if (m_saidLeaving.size() >= kMostLeaving || !m_saidLeaving.emplace(incarnation, now).second)
-        return false;
     const auto found = m_replicas.find(BackendId(incarnation.substr(0, incarnation.rfind('@'))));
     if (found != m_replicas.end() && found->second->incarnation == incarnation)
         found->second->isLeaving = true;
+    if (m_saidLeaving.size() >= kMostLeaving || !m_saidLeaving.emplace(incarnation, now).second)
+        return false;
     m_newlyLeaving.push_back(incarnation);
     return true;
 }
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -275,7 +275,7 @@
     takeServersWord(facts, now);
     if (facts.load)
         dispatcher().onLoadReport(*m_replica, *facts.load, now);
-    if (facts.isGenuine)
+    if (facts.isGenuine || (facts.isNotRun && !facts.isOtherServer))
         dispatcher().crashes().onAnswered(m_replica->incarnation, m_sentAt);
     if (facts.isNotRun || facts.isOtherServer) {
         if (facts.isOtherServer)
@@ -564,6 +564,7 @@
     if (refusedFor <= Duration(0))
         return false;
     m_gateway.parts().metrics.count("comfrey_requests_quarantined_total");
+    freePlace(now);
     if (m_runs == 0 && m_fallback.head.status == 0 && !m_caller->hasStarted())
         refuse(503, kCrashedServers, refusedFor);
     else
--- a/tests/traffic/gatewaytest.cpp
+++ b/tests/traffic/gatewaytest.cpp
@@ -1,6 +1,7 @@
 // Requests through the gateway, with backend servers and callers that misbehave.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "gateway/placesource.h"
 #include "onerouter.h"
 
 using namespace comfrey;
@@ -51,6 +52,21 @@
 
 } // namespace
 
+/// Keeps the request waiting until the test decides.
+class WaitingPlaces : public PlaceSource
+{
+public:
+    bool isShared(const ServiceName &, TimePoint) const override { return true; }
+    void ask(const PlaceRequest &, TimePoint, Handler waiting) override
+    {
+        handler = std::move(waiting);
+    }
+    void end(const PlaceTicket &, PlaceEnd, TimePoint) override { ++ended; }
+
+    Handler handler;
+    int ended = 0;
+};
+
 class GatewayTest : public CppUnit::TestFixture, protected OneRouter
 {
     CPPUNIT_TEST_SUITE(GatewayTest);
@@ -79,6 +95,7 @@
     CPPUNIT_TEST(smuggledLengthsAreRefused);
     CPPUNIT_TEST(pipelinedRequestsAreAnsweredInOrder);
     CPPUNIT_TEST(slowHeaderIsRefused);
+    CPPUNIT_TEST(placeOfARequestThatCrashedServersMeanwhileIsGivenBack);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -471,6 +488,40 @@
         CPPUNIT_ASSERT_EQUAL(408U, response->head.status);
     }
 
+    /// Its crashes become known while it waits for a place.
+    void placeOfARequestThatCrashedServersMeanwhileIsGivenBack()
+    {
+        WaitingPlaces places;
+        Gateway gateway({m_loop, m_dispatcher, m_headers, m_pool, m_log, m_metrics, now, &places});
+        CallerListener listener(m_loop, gateway, now, 10);
+        CPPUNIT_ASSERT(listener.listen("127.0.0.1:0"));
+        ScriptedServer server(m_loop, [](ServerConnection &connection, const Request &request) {
+            connection.answer(request, "ran");
+        });
+        serve(server);
+        RawCaller caller(m_loop, listener.port());
+        caller.send(get("r1", "/once/x"));
+        CPPUNIT_ASSERT(runUntil(m_loop, [&] { return places.handler != nullptr; }));
+        HttpHead head;
+        head.target = "/once/x";
+        head.add("Host", "a.example");
+        head.add("X-Request-Id", "r1");
+        const Fingerprint request = m_headers.readRequest(head, "")->fingerprint;
+        m_dispatcher.crashes().onCrash(request, "e8@1", now());
+        m_dispatcher.crashes().onCrash(request, "e9@1", now());
+        PlaceReply reply;
+        reply.verdict = PlaceReply::Verdict::Granted;
+        reply.ticket = {"keeper", ServiceName("s"), 1};
+        reply.server = m_dispatcher.replicas().find(BackendId("e0"))->incarnationHash;
+        places.handler(reply);
+        std::optional<RawCaller::Response> response;
+        CPPUNIT_ASSERT(
+            runUntil(m_loop, [&] { return (response = caller.takeResponse()).has_value(); }));
+        CPPUNIT_ASSERT_EQUAL(503U, response->head.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.requestCount());
+        CPPUNIT_ASSERT_EQUAL(1, places.ended);
+    }
+
 private:
     void serve(const ScriptedServer &server)
     {
