Tests: no router of the fleet answers while a follower waits for its first news

Traced with a longer window: 551 ms after the first reader went deaf a second router read the store, and after 712 to 714 ms the late router followed that one and had its answer, which is allowed. The window of 700 ms ended 12 ms before that. Change: all routers are deaf to followers, so no answer can come; the window is 1,500 ms.

--- a/tests/traffic/fleetlinktest.cpp
+++ b/tests/traffic/fleetlinktest.cpp
@@ -221,9 +221,11 @@
     {
         startRouters();
         LinkedRouter late(m_loop, "late", 7, m_routers[0]->port.address, false);
-        reader().port.handler.isDeafToFollowers = true;
+        // All of them: a second router reads the store once the first is given up.
+        for (const auto &router : m_routers)
+            router->port.handler.isDeafToFollowers = true;
         bool toldFresh = false;
-        const TimePoint end = now() + milliseconds(700);
+        const TimePoint end = now() + milliseconds(1500);
         runRouters([&] {
             late.link().tick(now());
             toldFresh = toldFresh || late.link().isFreshForOthers(now());
