Routers: what they know from each other travels while the store is down

What callers saw: a request that crashes its servers could reach every engine during an outage of the store, since no router heard of the others' crashes. Requests at each server were not told either, so every router placed by its own sliver of the load.

Cause: a router asked another one for news only while that one was up to date with the store. In an outage nobody is, so crashes, servers' words and requests went nowhere; the evidence about the fleet depended on the store, which has no part in it.

Change: a router without fresh news asks its predecessor (the first router of its zone that answers, or the first of all) every 0.3 s or a hold time, fresh or not: the tree is the usual one. A fresh answer makes it follow again. Only who has no predecessor exchanges with other zones then.

Tests, failing before: FleetLinkTest::newsOfRoutersTravelWhileTheStoreIsDown, ...That- BeginWhileTheStoreIsDown (no crash of another router known after 3 s, requests of others counted as 0); the bound is the shortest stable_window_ms of the sites.

--- a/src/gateway/fleetlink.cpp
+++ b/src/gateway/fleetlink.cpp
@@ -274,10 +274,21 @@
         setReadsStore(true, now, "no router that goes before it has fresh news");
     else if (m_followed && isNewsFresh)
         setReadsStore(false, now, "another router reads it");
-    if (isFirst && m_readsStore && now >= m_exchangeAt)
+    const auto predecessor = isFresh(now) ? std::nullopt : m_directory.predecessor(now);
+    if (predecessor)
+        askPredecessor(*predecessor, now);
+    else if (isFirst && m_readsStore && now >= m_exchangeAt)
         exchange(now);
 }
 
+void FleetLink::askPredecessor(const KnownRouter &predecessor, TimePoint now)
+{
+    if (m_followed || now < m_predecessorAt)
+        return;
+    m_predecessorAt = now + std::max(kExchangePause, holdTime());
+    ask(predecessor, Purpose::Follow, now);
+}
+
 void FleetLink::setReadsStore(bool reads, TimePoint now, std::string_view why)
 {
     if (m_readsStore == reads)
@@ -387,13 +398,14 @@
             m_followed.reset();
         }
     }
-    if (isUsable && purpose == Purpose::Follow && isFollowed)
-        m_freshAt = now;
-    if (isUsable && purpose == Purpose::Probe && !isFollowed) {
+    const bool wasPredecessor = purpose == Purpose::Follow && !m_followed && !isFresh(now);
+    if (isUsable && !isFollowed && (purpose == Purpose::Probe || wasPredecessor)) {
         m_followed = router;
         m_followedSince = now;
         LogLine(m_log, "router-followed", now).add("router", router.name);
     }
+    if (isUsable && purpose == Purpose::Follow && (isFollowed || wasPredecessor))
+        m_freshAt = now;
     if (!m_stopping && purpose != Purpose::Exchange)
         decide(now);
 }
--- a/src/gateway/fleetlink.h
+++ b/src/gateway/fleetlink.h
@@ -141,6 +141,8 @@
     void decide(TimePoint now);
     void setReadsStore(bool reads, TimePoint now, std::string_view why);
     void exchange(TimePoint now);
+    /// Nobody is up to date with the store: what routers know from each other only travels on.
+    void askPredecessor(const KnownRouter &predecessor, TimePoint now);
     Duration holdTime() const;
 
     /// Up to where another router's changes are known.
@@ -183,6 +185,7 @@
     TimePoint m_followedSince = TimePoint::min();
     TimePoint m_freshAt = TimePoint::min(); ///< Of the last fresh news from another router.
     TimePoint m_exchangeAt = TimePoint::min();
+    TimePoint m_predecessorAt = TimePoint::min();
     TimePoint m_seedsAt = TimePoint::min();
     std::int64_t m_answerBytes = 0; ///< Of the last followed router's answer without records.
     bool m_readsStore = false;
--- a/src/routers/routerdirectory.cpp
+++ b/src/routers/routerdirectory.cpp
@@ -68,6 +68,27 @@
     return best;
 }
 
+const RouterDirectory::Entry *RouterDirectory::firstAnswering(const Zone &zone, TimePoint now)
+{
+    const auto found = std::find_if(zone.begin(), zone.end(), [now](const auto &place) {
+        return now >= place.second.silentUntil;
+    });
+    return found == zone.end() ? nullptr : &found->second;
+}
+
+std::optional<KnownRouter> RouterDirectory::predecessor(TimePoint now) const
+{
+    const Entry *first = firstAnswering(m_zones.at(m_self.zone), now);
+    if (first->router.name != m_self.name)
+        return first->router;
+    for (const auto &[zone, routers] : m_zones) {
+        const Entry *other = firstAnswering(routers, now);
+        if (other && placeOf(other->router) < placeOf(first->router))
+            first = other;
+    }
+    return first->router.name == m_self.name ? std::nullopt : std::optional(first->router);
+}
+
 std::optional<KnownRouter>
 RouterDirectory::firstOfAll(const std::function<bool(const KnownRouter &)> &isWanted) const
 {
@@ -138,6 +159,7 @@
         return;
     entry->askAgainAt =
         now + std::min(kLongestPause, kFirstPause * (1U << std::min(entry->failures, 4U)));
+    entry->silentUntil = entry->askAgainAt;
     ++entry->failures;
 }
 
@@ -154,7 +176,7 @@
 void RouterDirectory::onLeaving(const std::string &name, TimePoint now)
 {
     if (Entry *entry = find(name))
-        entry->askAgainAt = now + kLeavingPause;
+        entry->askAgainAt = entry->silentUntil = now + kLeavingPause;
 }
 
 } // namespace comfrey
--- a/src/routers/routerdirectory.h
+++ b/src/routers/routerdirectory.h
@@ -39,6 +39,9 @@
     /// The first router of another zone that goes before this one in the order of all routers and
     /// may be asked now; none if this one is to go first.
     std::optional<KnownRouter> firstElsewhere(TimePoint now) const;
+    /// Whom this router asks while none is up to date: the first router of its zone that answers
+    /// or, if that is this one, the first of all zones; none if that is this one too.
+    std::optional<KnownRouter> predecessor(TimePoint now) const;
     /// The first of all routers, this one among them, that `isWanted`; none if there is none.
     std::optional<KnownRouter>
     firstOfAll(const std::function<bool(const KnownRouter &)> &isWanted) const;
@@ -66,6 +69,7 @@
         KnownRouter router;
         std::uint32_t failures = 0; ///< In a row.
         TimePoint askAgainAt = TimePoint::min();
+        TimePoint silentUntil = TimePoint::min(); ///< It does not answer, or stops.
     };
 
     KnownRouter m_self;
@@ -75,6 +79,8 @@
 
     static Place placeOf(const KnownRouter &router);
     Entry *find(const std::string &name);
+    /// The first router of the zone that answers, this one counted as such; null if there is none.
+    static const Entry *firstAnswering(const Zone &zone, TimePoint now);
 
     std::map<ZoneId, Zone> m_zones;
 };
--- a/tests/traffic/fleetlinktest.cpp
+++ b/tests/traffic/fleetlinktest.cpp
@@ -8,6 +8,13 @@
 using namespace comfrey;
 using namespace comfrey::loopback;
 
+namespace {
+
+/// Until all routers know of a crash: the shortest stable_window_ms of the platform's sites.
+constexpr Duration kKnownWithin = milliseconds(3000);
+
+} // namespace
+
 class FleetLinkTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(FleetLinkTest);
@@ -22,6 +29,8 @@
     CPPUNIT_TEST(requestsOfAllZonesAreCountedOnce);
     CPPUNIT_TEST(onlyPromptsThatManyAskForAreTold);
     CPPUNIT_TEST(crashThatAFollowerSawReachesAllZones);
+    CPPUNIT_TEST(newsOfRoutersTravelWhileTheStoreIsDown);
+    CPPUNIT_TEST(newsOfRoutersTravelThatBeginWhileTheStoreIsDown);
     CPPUNIT_TEST(followersHearThatTheStoreIsInDoubt);
     CPPUNIT_TEST(followerWithoutAnAnswerYetIsNotFreshForOthers);
     CPPUNIT_TEST(crashThatWasToldWithALostAskIsToldAgain);
@@ -207,6 +216,27 @@
         }));
     }
 
+    /// Incident BUDGET: while nobody could read the store, no router heard of the others' crashes.
+    void newsOfRoutersTravelWhileTheStoreIsDown()
+    {
+        startZones();
+        m_isStoreDown = true;
+        CPPUNIT_ASSERT(runRouters([&] { return isNobodyFresh(); }));
+        checkNewsTravel();
+    }
+
+    void newsOfRoutersTravelThatBeginWhileTheStoreIsDown()
+    {
+        m_isStoreDown = true;
+        addZones();
+        CPPUNIT_ASSERT(runRouters([&] {
+            return std::all_of(m_routers.begin(), m_routers.end(), [](const auto &router) {
+                return router->link().directory().size() == 6;
+            });
+        }));
+        checkNewsTravel();
+    }
+
     void followersHearThatTheStoreIsInDoubt()
     {
         startRouters();
@@ -277,6 +307,17 @@
     /// Two routers in each of three zones, the first of them strong; the very first one reads the
     /// store for all.
     void startZones()
+    {
+        addZones();
+        CPPUNIT_ASSERT(runRouters([&] {
+            return m_routers.front()->link().readsStore()
+                && std::all_of(m_routers.begin() + 1, m_routers.end(), [](const auto &router) {
+                       return !router->link().readsStore() && router->link().isFresh(now());
+                   });
+        }));
+    }
+
+    void addZones()
     {
         for (int index = 0; index < 6; ++index) {
             const std::string seed =
@@ -291,12 +332,44 @@
             if (!m_ownPrompts.empty())
                 m_routers.back()->ownByPrompt = m_ownPrompts[static_cast<std::size_t>(index)];
         }
-        CPPUNIT_ASSERT(runRouters([&] {
-            return m_routers.front()->link().readsStore()
-                && std::all_of(m_routers.begin() + 1, m_routers.end(), [](const auto &router) {
-                       return !router->link().readsStore() && router->link().isFresh(now());
-                   });
-        }));
+    }
+
+    bool isNobodyFresh() const
+    {
+        return std::all_of(m_routers.begin(), m_routers.end(), [](const auto &router) {
+            return !router->link().isFresh(now()) && router->link().readsStore();
+        });
+    }
+
+    /// What each router finds out and how many requests it has reach all others.
+    void checkNewsTravel()
+    {
+        for (std::size_t index = 0; index < m_routers.size(); ++index) {
+            LinkedRouter &router = *m_routers[index];
+            router.own = {{7, 1U << index}};
+            router.feed.put({"~crashes", "request server" + std::to_string(index), "", 5});
+            router.link().publish();
+        }
+        const TimePoint end = now() + kKnownWithin;
+        std::string missing;
+        runRouters([&] {
+            missing.clear();
+            for (std::size_t index = 0; index < m_routers.size(); ++index) {
+                const LinkedRouter &router = *m_routers[index];
+                for (std::size_t other = 0; other < m_routers.size(); ++other) {
+                    if (!router.feed.find("~crashes", "request server" + std::to_string(other)))
+                        missing += std::to_string(index) + " lacks the crash of "
+                            + std::to_string(other) + "; ";
+                }
+                const ServerRequests others = router.port.link->othersRequests(now());
+                const auto told = others.find(7);
+                const std::uint32_t count = told == others.end() ? 0 : told->second;
+                if (count != 63 - (1U << index))
+                    missing += std::to_string(index) + " counts " + std::to_string(count) + "; ";
+            }
+            return missing.empty() || now() >= end;
+        });
+        CPPUNIT_ASSERT_MESSAGE(missing, missing.empty());
     }
 
     bool runRouters(const std::function<bool()> &done)
@@ -307,7 +380,7 @@
                 next = now() + milliseconds(20);
                 for (const auto &router : m_routers) {
                     if (router->link().readsStore())
-                        router->link().setStoreWorks(router.get() != m_failing);
+                        router->link().setStoreWorks(!m_isStoreDown && router.get() != m_failing);
                     router->link().tick(now());
                 }
             }
@@ -331,6 +404,7 @@
     std::vector<ServerRequests> m_ownPrompts;
     bool m_isFirstStart = true;
     bool m_seedIsLate = false;
+    bool m_isStoreDown = false;
     const LinkedRouter *m_failing = nullptr; ///< Its reads of the store fail.
 };
 
