Routers: crashes reach zones that read the store for themselves

Change: asks of an exchange carry these records as those of a follower do, and answers about routers only carry them too.

--- a/src/gateway/fleetlink.cpp
+++ b/src/gateway/fleetlink.cpp
@@ -336,7 +336,8 @@
     const Duration usualHold = isNeighbour ? holdTime() : kExchangePause;
     const Duration hold = purpose == Purpose::Follow ? usualHold : Duration(0);
     news.holdMs = static_cast<std::uint32_t>(hold.count() / 1000);
-    if (purpose == Purpose::Follow)
+    const bool tellsLocal = purpose == Purpose::Follow || purpose == Purpose::Exchange;
+    if (tellsLocal)
         news.records = localRecords(known.told);
     const std::uint64_t telling = m_feed.number();
     toWire(toAsk(m_servers, m_listener.ownRequests(), router, purpose, now), news.requests);
@@ -350,13 +351,14 @@
     call.timeout = hold + kAskMargin;
     call.progressTimeout = kProgressLimit;
     const bool wantsAll = !news.routersOnly && !news.noRecords;
-    m_caller.start(std::move(call),
-                   [this, router, purpose, wantsAll, telling](const CallAnswer &answer) {
-                       // Records of an ask that may be lost are told again.
-                       if (purpose == Purpose::Follow && answer.status == 200)
-                           m_known[router.address].told = telling;
-                       onAnswer(router, purpose, wantsAll, answer);
-                   });
+    m_caller.start(
+        std::move(call),
+        [this, router, purpose, wantsAll, tellsLocal, telling](const CallAnswer &answer) {
+            // Records of an ask that may be lost are told again.
+            if (tellsLocal && answer.status == 200)
+                m_known[router.address].told = telling;
+            onAnswer(router, purpose, wantsAll, answer);
+        });
 }
 
 void FleetLink::onAnswer(const KnownRouter &router, Purpose purpose, bool hadAll,
@@ -589,7 +591,7 @@
             if (router && router->zone.value() != ask.zone
                 && m_directory.rankOf(*router) >= kToldOfOtherZones)
                 continue;
-        } else if (ask.routersOnly) {
+        } else if (ask.routersOnly && !isLocal(change.record->topic)) {
             continue;
         }
         news.records.push_back(toWire(change, m_clock()));
--- a/tests/traffic/fleetlinktest.cpp
+++ b/tests/traffic/fleetlinktest.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(crashThatAFollowerSawReachesAllZones);
     CPPUNIT_TEST(newsOfRoutersTravelWhileTheStoreIsDown);
     CPPUNIT_TEST(newsOfRoutersTravelThatBeginWhileTheStoreIsDown);
+    CPPUNIT_TEST(crashReachesZonesThatReadTheStoreThemselves);
     CPPUNIT_TEST(followersHearThatTheStoreIsInDoubt);
     CPPUNIT_TEST(followerWithoutAnAnswerYetIsNotFreshForOthers);
     CPPUNIT_TEST(crashThatWasToldWithALostAskIsToldAgain);
@@ -237,6 +238,26 @@
         checkNewsTravel();
     }
 
+    /// Incident BUDGET: routers of two zones that read the store only exchanged requests.
+    void crashReachesZonesThatReadTheStoreThemselves()
+    {
+        startZones();
+        // Routers of the other zones can't follow one of the first zone.
+        for (const std::size_t index : {0U, 1U})
+            m_routers[index]->port.handler.deafToZones = {"z1", "z2"};
+        LinkedRouter &second = *m_routers[2];
+        CPPUNIT_ASSERT(runRouters([&] { return second.link().readsStore(); }));
+        for (std::size_t index = 0; index < m_routers.size(); ++index) {
+            m_routers[index]->feed.put(
+                {"~crashes", "request server" + std::to_string(index), "", 5});
+            m_routers[index]->link().publish();
+        }
+        const TimePoint end = now() + kKnownWithin;
+        runRouters([&] { return missingCrashes().empty() || now() >= end; });
+        CPPUNIT_ASSERT(second.link().readsStore());
+        CPPUNIT_ASSERT_EQUAL(std::string(), missingCrashes());
+    }
+
     void followersHearThatTheStoreIsInDoubt()
     {
         startRouters();
@@ -341,6 +362,21 @@
         });
     }
 
+    /// Which routers lack which router's crash.
+    std::string missingCrashes() const
+    {
+        std::string missing;
+        for (std::size_t index = 0; index < m_routers.size(); ++index) {
+            for (std::size_t other = 0; other < m_routers.size(); ++other) {
+                if (!m_routers[index]->feed.find("~crashes",
+                                                 "request server" + std::to_string(other)))
+                    missing += std::to_string(index) + " lacks the crash of "
+                        + std::to_string(other) + "; ";
+            }
+        }
+        return missing;
+    }
+
     /// What each router finds out and how many requests it has reach all others.
     void checkNewsTravel()
     {
@@ -353,14 +389,9 @@
         const TimePoint end = now() + kKnownWithin;
         std::string missing;
         runRouters([&] {
-            missing.clear();
+            missing = missingCrashes();
             for (std::size_t index = 0; index < m_routers.size(); ++index) {
                 const LinkedRouter &router = *m_routers[index];
-                for (std::size_t other = 0; other < m_routers.size(); ++other) {
-                    if (!router.feed.find("~crashes", "request server" + std::to_string(other)))
-                        missing += std::to_string(index) + " lacks the crash of "
-                            + std::to_string(other) + "; ";
-                }
                 const ServerRequests others = router.port.link->othersRequests(now());
                 const auto told = others.find(7);
                 const std::uint32_t count = told == others.end() ? 0 : told->second;
--- a/tests/traffic/linkedrouter.h
+++ b/tests/traffic/linkedrouter.h
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,23 +58,28 @@
             {
                 if (now() < servesFrom)
                     connection->abort();
-                else if (isDeafToFollowers && isFollower(body, lostRecords))
+                else if (isDeafTo(body))
                     held.push_back(connection); // Never answered.
                 else
                     link->onRequest(connection, std::move(head), std::move(body));
             }
             const CallerLimits &limits() const override { return link->limits(); }
             bool isStopping() const override { return false; }
-            static bool isFollower(const std::string &body, std::size_t &records)
+            bool isDeafTo(const std::string &body)
             {
+                if (!isDeafToFollowers && deafToZones.empty())
+                    return false;
                 const auto ask = unpacked<wire::NewsAsk>(body);
-                records += ask ? ask->records.size() : 0;
-                return ask && ask->holdMs > 0;
+                if (!ask || (!isDeafToFollowers && deafToZones.count(ask->zone) == 0))
+                    return false;
+                lostRecords += ask->records.size();
+                return ask->holdMs > 0;
             }
 
             FleetLink *link = nullptr;
             bool isDeafToFollowers = false;
-            std::size_t lostRecords = 0; ///< That asks without an answer carried.
+            std::set<std::string> deafToZones; ///< To followers of these zones only.
+            std::size_t lostRecords = 0;       ///< That asks without an answer carried.
             std::vector<std::shared_ptr<CallerConnection>> held;
             TimePoint servesFrom = TimePoint::min();
         };
