Crashing requests: servers that fall silent under a request count too

What callers saw: a request that silences the servers that run it (no reset, no refused port: the process is gone without a word) was sent on without end: 6 sendings, 6 servers.

Cause: two orders of events in which the evidence met no question. - A dropped sending was a question only if no byte of the answer had come, so a stream that stalls after its first event was none. - The list shows the end of a silent server after three heartbeats (3.6 s); a caller with a longer time limit gives up later, and the question came after its answer.

Change: a sending that is dropped after a second of silence is a question at any point of its answer. Ends of servers that are gone for sure are remembered for 16 s (the longest time limit is 15 s), unless the server answers after all (its record had lapsed).

--- a/src/dispatch/crashguard.cpp
+++ b/src/dispatch/crashguard.cpp
@@ -22,6 +22,10 @@
 
 void CrashGuard::onUnanswered(Fingerprint request, const std::string &server, TimePoint now)
 {
+    if (const auto end = m_ends.find(server); end != m_ends.end()) {
+        blame(request, server, end->second.evidence, Duration(0), now);
+        return;
+    }
     if (m_questionCount >= kMostQuestions)
         return;
     m_questions[server].push_back({request, now});
@@ -30,6 +34,8 @@
 
 void CrashGuard::onAnswered(const std::string &server, TimePoint sentAt)
 {
+    if (!m_ends.empty())
+        m_ends.erase(server); // Its record had only lapsed.
     if (m_questions.empty())
         return;
     const auto found = m_questions.find(server);
@@ -43,17 +49,25 @@
 
 void CrashGuard::onServerEnded(const std::string &server, EndEvidence evidence, TimePoint now)
 {
+    // A port that refuses may be open again a moment later.
+    if (evidence != EndEvidence::ConnectionRefused && m_ends.size() < kMostEnds)
+        m_ends.try_emplace(server, End{evidence, now});
     const auto found = m_questions.find(server);
     if (found == m_questions.end())
         return;
-    for (const Question &question : found->second) {
-        if (onCrash(question.request, server, now))
-            m_notices.push_back({question.request, server, evidence, now - question.at});
-    }
+    for (const Question &question : found->second)
+        blame(question.request, server, evidence, now - question.at, now);
     m_questionCount -= found->second.size();
     m_questions.erase(found);
 }
 
+void CrashGuard::blame(Fingerprint request, const std::string &server, EndEvidence evidence,
+                       Duration after, TimePoint now)
+{
+    if (onCrash(request, server, now))
+        m_notices.push_back({request, server, evidence, after});
+}
+
 bool CrashGuard::onCrash(Fingerprint request, const std::string &server, TimePoint now)
 {
     if (m_suspects.size() >= kMostSuspects && m_suspects.count(request) == 0)
@@ -104,6 +118,7 @@
         });
         entry = entry->second.empty() ? m_questions.erase(entry) : std::next(entry);
     }
+    std::erase_if(m_ends, [now](const auto &entry) { return now - entry.second.at >= kEndLife; });
     std::erase_if(m_suspects,
                   [now](const auto &entry) { return now - entry.second.last >= kMemory; });
 }
--- a/src/dispatch/crashguard.h
+++ b/src/dispatch/crashguard.h
@@ -3,7 +3,8 @@
 //
 // A sending that ends without an answer is a question: it stays open until the server shows that it
 // ended (its port refuses, another server or a later start has its place) or that it lives (it
-// answers what was sent later), or until it is too old to tell.
+// answers what was sent later), or until it is too old to tell. The list may show the end of a
+// silent server before its caller gives up, so ends are remembered for as long as callers wait.
 #pragma once
 
 #include <cstdint>
@@ -77,9 +78,12 @@
     /// A question is open for so long: three heartbeats of a server and the way of the list, or its
     /// start after a crash, which takes some seconds.
     static constexpr Duration kQuestionLife = milliseconds(8000);
+    /// How long an end is remembered: the longest time limit of a caller is 15 s.
+    static constexpr Duration kEndLife = milliseconds(16000);
     /// Bounds memory: a router has fewer requests under way.
     static constexpr std::size_t kMostQuestions = 4096;
     static constexpr std::size_t kMostSuspects = 16384;
+    static constexpr std::size_t kMostEnds = 4096; ///< All servers of a large fleet at once.
 
     struct Question
     {
@@ -87,17 +91,27 @@
         TimePoint at;
     };
 
+    struct End
+    {
+        EndEvidence evidence;
+        TimePoint at;
+    };
+
     struct Suspect
     {
         std::set<std::string> servers; ///< Incarnations that ended under it.
         TimePoint last;                ///< When the last one became known here.
     };
 
+    /// The request is suspected, and the other routers are told, unless that is known.
+    void blame(Fingerprint request, const std::string &server, EndEvidence evidence, Duration after,
+               TimePoint now);
     static Duration termOf(const Suspect &suspect);
 
     std::map<Fingerprint, Suspect> m_suspects;
     std::map<std::string, std::vector<Question>> m_questions; ///< By server; none is empty.
     std::size_t m_questionCount = 0;
+    std::map<std::string, End> m_ends; ///< By server; only of servers that are gone for sure.
     std::vector<CrashNotice> m_notices;
 };
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -27,7 +27,7 @@
 constexpr Duration kNoConfigRetry = milliseconds(500); // the store does not answer, or slowly
 /// Over so long the callers that come back after a pause of all servers are spread.
 constexpr Duration kReturnSpread = milliseconds(300); // some dozen answers of a small service
-/// A server that owed an answer for so long may have ended without a sign.
+/// A server that owed an answer, or the rest of one, for so long may have ended without a sign.
 constexpr Duration kLongSilence = milliseconds(1000);
 
 constexpr std::string_view kCrashedServers = "this request crashed the backend servers that ran it";
@@ -248,6 +248,7 @@
         m_gateway.parts().metrics.count("comfrey_sends_held_back_total",
                                         "service=\"" + m_admission.service.value() + "\"");
     m_sentAt = now;
+    m_heardAt = now;
     m_relay = Relay::None;
     m_waitsForAnswer = true;
     dispatcher().onSent(*m_replica, m_facts, now);
@@ -356,6 +357,7 @@
 
 void Exchange::onBody(std::string_view bytes)
 {
+    m_heardAt = m_gateway.now();
     switch (m_relay) {
     case Relay::None:
     case Relay::Discard:
@@ -490,8 +492,8 @@
     if (!m_replica)
         return;
     const TimePoint now = m_gateway.now();
-    const bool owesAnswer = m_connection && m_connection->hasSent() && m_relay == Relay::None;
-    if (owesAnswer && now - m_sentAt >= kLongSilence)
+    const bool owesAnswer = m_connection && m_connection->hasSent() && m_relay != Relay::Discard;
+    if (owesAnswer && now - m_heardAt >= kLongSilence)
         dispatcher().crashes().onUnanswered(m_facts.fingerprint, m_replica->incarnation, now);
     if (std::exchange(m_waitsForAnswer, false))
         dispatcher().onAbandoned(*m_replica, now - m_sentAt, now);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -97,6 +97,7 @@
     std::shared_ptr<Replica> m_replica;   ///< Of the present sending; null between sendings.
     BackendPool::Connection m_connection; ///< Null between sendings.
     TimePoint m_sentAt;
+    TimePoint m_heardAt;                    ///< Of the sending, or of the last bytes of its answer.
     PlaceTicket m_place;                    ///< Of the present sending, if it has one.
     PlaceEnd m_placeEnd = PlaceEnd::Unused; ///< How its use went so far.
     bool m_waitsForAnswer = false;    ///< The replica's health still counts this sending as open.
--- a/tests/crashguardtest.cpp
+++ b/tests/crashguardtest.cpp
@@ -43,6 +43,9 @@
     CPPUNIT_TEST(serverThatEndsMuchLaterSaysNothing);
     CPPUNIT_TEST(laterStartOfTheServerShowsItsEnd);
     CPPUNIT_TEST(removedRecordShowsTheEndOfASilentServer);
+    CPPUNIT_TEST(sendingThatEndsAfterItsServerDidIsACrash);
+    CPPUNIT_TEST(sendingThatEndsLongAfterItsServerDidIsNone);
+    CPPUNIT_TEST(serverThatAnswersAfterItsRecordLapsedHasNotEnded);
     CPPUNIT_TEST(serverThatLeavesHasNotCrashed);
     CPPUNIT_TEST(connectionThatTimesOutIsNoCrash);
     CPPUNIT_TEST(openQuestionsAreBounded);
@@ -164,6 +167,34 @@
         CPPUNIT_ASSERT(onlyNotice(dispatcher).evidence == EndEvidence::Unlisted);
     }
 
+    /// A caller may wait longer than the list needs to show that its silent server has ended.
+    void sendingThatEndsAfterItsServerDidIsACrash()
+    {
+        CrashGuard guard;
+        guard.onServerEnded("e1@1", EndEvidence::Unlisted, at(3600));
+        guard.onUnanswered(kRequest, "e1@1", at(4000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, guard.crashCount(kRequest));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, guard.takeNotices().size());
+    }
+
+    void sendingThatEndsLongAfterItsServerDidIsNone()
+    {
+        CrashGuard guard;
+        guard.onServerEnded("e1@1", EndEvidence::Unlisted, at(0));
+        guard.tick(at(20000));
+        guard.onUnanswered(kRequest, "e1@1", at(20000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, guard.crashCount(kRequest));
+    }
+
+    void serverThatAnswersAfterItsRecordLapsedHasNotEnded()
+    {
+        CrashGuard guard;
+        guard.onServerEnded("e1@1", EndEvidence::Unlisted, at(0));
+        guard.onAnswered("e1@1", at(100));
+        guard.onUnanswered(kRequest, "e1@1", at(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, guard.crashCount(kRequest));
+    }
+
     void serverThatLeavesHasNotCrashed()
     {
         Dispatcher dispatcher{DispatcherSettings{}};
--- a/tests/traffic/crashingrequesttest.cpp
+++ b/tests/traffic/crashingrequesttest.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(requestThatIsResetByLivingServersIsServedLater);
     CPPUNIT_TEST(repeatableRequestIsStoppedWithinItsOwnAttempt);
     CPPUNIT_TEST(serverThatIsBackAtOnceStillCounts);
+    CPPUNIT_TEST(requestThatSilencesServersInAStreamIsStopped);
+    CPPUNIT_TEST(requestWhoseCallerWaitsLongerThanTheListIsStopped);
     CPPUNIT_TEST(routerThatStartsLaterKnowsTheRequest);
     CPPUNIT_TEST(requestBesideItIsServedOnItsReturn);
     CPPUNIT_TEST_SUITE_END();
@@ -68,6 +70,19 @@
         CPPUNIT_ASSERT_EQUAL(502U, fleet.statuses("end").front());
     }
 
+    void requestThatSilencesServersInAStreamIsStopped()
+    {
+        EndingFleet fleet(m_loop, 3, 10, milliseconds(0));
+        fleet.unlistedAfter = milliseconds(1600);
+        playSilencings(fleet, "/stream/", "dark");
+    }
+
+    void requestWhoseCallerWaitsLongerThanTheListIsStopped()
+    {
+        EndingFleet fleet(m_loop, 3, 10, milliseconds(0));
+        playSilencings(fleet, "/once/", "mute");
+    }
+
     void routerThatStartsLaterKnowsTheRequest()
     {
         EndingFleet fleet(m_loop, 3, 8, milliseconds(800));
@@ -112,6 +127,20 @@
                                static_cast<std::size_t>(late) <= kMostRepeats);
     }
 
+    /// The request comes at the next router each time its caller has left and the list has shown
+    /// the end of the server: no more than two servers are needed to know it, and one that is under
+    /// way.
+    static void playSilencings(EndingFleet &fleet, const std::string &path, const std::string &body)
+    {
+        for (std::size_t round = 0; round < 6; ++round) {
+            fleet.send(round % fleet.routerCount(), path, body);
+            fleet.run(std::max(fleet.patience, fleet.unlistedAfter) + milliseconds(400));
+        }
+        CPPUNIT_ASSERT_MESSAGE("silenced: " + std::to_string(fleet.ends().size()),
+                               fleet.ends().size() >= 2 && fleet.ends().size() <= 3);
+        CPPUNIT_ASSERT_EQUAL(503U, fleet.statuses(body).back());
+    }
+
     static bool sendUntilRefused(EndingFleet &fleet)
     {
         for (std::size_t round = 0; round < 12; ++round) {
--- a/tests/traffic/endingfleet.cpp
+++ b/tests/traffic/endingfleet.cpp
@@ -30,8 +30,9 @@
 {
     FleetConfig config;
     config.version = 1;
-    for (const auto &[prefix, kind] : {std::pair{"/once/", RouteKind::AtMostOnce},
-                                       std::pair{"/again/", RouteKind::Repeatable}}) {
+    for (const auto &[prefix, kind] :
+         {std::pair{"/once/", RouteKind::AtMostOnce}, std::pair{"/again/", RouteKind::Repeatable},
+          std::pair{"/stream/", RouteKind::Stream}}) {
         Route route;
         route.name = prefix;
         route.host = "a.example";
@@ -95,6 +96,16 @@
         connection.reset();
         return;
     }
+    if (server.isSilent)
+        return;
+    if (request.body == "dark" || request.body == "mute") {
+        if (request.body == "dark")
+            connection.write("HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Request-Id: "
+                             + std::string(request.head.valueOf("X-Request-Id"))
+                             + "\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n");
+        silence(server);
+        return;
+    }
     if (request.body != "end") {
         connection.answer(request, "ran", server.isLeaving ? "Server-Leaving: 1\r\n" : "");
         return;
@@ -104,6 +115,16 @@
     later(m_serverDownFor, [this, &server] { startServer(server); });
 }
 
+void EndingFleet::silence(Server &server)
+{
+    m_ends.push_back(now());
+    server.isSilent = true;
+    later(unlistedAfter, [this, &server] {
+        for (const auto &router : m_routers)
+            router->dispatcher.replicas().remove(server.id, now(), now());
+    });
+}
+
 void EndingFleet::send(std::size_t router, const std::string &path, const std::string &body)
 {
     Call call;
@@ -112,6 +133,8 @@
     call.caller->send("POST " + path + "x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q"
                       + std::to_string(++m_ids)
                       + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    if (body == "dark" || body == "mute")
+        call.leavesAt = now() + patience;
     m_calls.push_back(std::move(call));
 }
 
@@ -128,6 +151,10 @@
         action();
     }
     std::erase_if(m_calls, [this](Call &call) {
+        if (now() >= call.leavesAt) {
+            m_statuses[call.body].push_back(0);
+            return true;
+        }
         const auto response = call.caller->takeResponse();
         if (!response && !call.caller->isClosed())
             return false;
--- a/tests/traffic/endingfleet.h
+++ b/tests/traffic/endingfleet.h
@@ -79,7 +79,9 @@
 
     /// A request of its own id with that body; the answer's status goes to `statuses`, 0 for none.
     /// Requests whose body is "end" end the server that begins to run them; "reset" is answered
-    /// with a reset of the connection by a server that lives on; all others are answered.
+    /// with a reset of the connection by a server that lives on; "dark" silences the server for
+    /// good after the first event of a stream, "mute" before its answer: it leaves the list later,
+    /// and the caller leaves too. All others are answered.
     void send(std::size_t router, const std::string &path, const std::string &body);
     /// Runs everything for a while.
     void run(Duration time);
@@ -88,7 +90,7 @@
 
     std::size_t routerCount() const { return m_routers.size(); }
     ServingRouter &router(std::size_t index) { return *m_routers.at(index); }
-    /// When the request with the body "end" reached a server.
+    /// When a request that ends or silences its server reached one.
     const std::vector<TimePoint> &ends() const { return m_ends; }
     /// Statuses of the answers to requests with that body, in the order of their coming.
     const std::vector<unsigned> &statuses(const std::string &body) { return m_statuses[body]; }
@@ -102,7 +104,9 @@
     void leave(std::size_t server) { m_servers.at(server)->isLeaving = true; }
     /// A server that starts again is listed so long after its start.
     Duration listedAfter{0};
-    bool keepsPort = false; ///< Servers start again at their old address.
+    Duration unlistedAfter = milliseconds(600); ///< Of a silent server: from its end.
+    Duration patience = milliseconds(1300);     ///< Of callers of silent servers.
+    bool keepsPort = false;                     ///< Servers start again at their old address.
 
 private:
     struct Server
@@ -110,6 +114,7 @@
         BackendId id;
         std::uint64_t born = 0;
         bool isLeaving = false;
+        bool isSilent = false;
         std::vector<std::unique_ptr<ScriptedServer>> processes; ///< The last one may run.
     };
 
@@ -117,9 +122,12 @@
     {
         std::string body;
         std::unique_ptr<RawCaller> caller;
+        TimePoint leavesAt = kNever;
     };
 
     void startServer(Server &server);
+    /// The server does nothing more, and its port accepts nothing.
+    void silence(Server &server);
     void list(const Server &server);
     void onRequest(Server &server, ServerConnection &connection,
                    const ServerConnection::Request &request);
