--- a/src/gateway/fleetlink.cpp
+++ b/src/gateway/fleetlink.cpp
@@ -275,9 +275,12 @@
     else if (m_followed && isNewsFresh)
         setReadsStore(false, now, "another router reads it");
     const auto predecessor = isFresh(now) ? std::nullopt : m_directory.predecessor(now);
-    if (predecessor)
+    if (predecessor) {
         askPredecessor(*predecessor, now);
-    else if (isFirst && m_readsStore && now >= m_exchangeAt)
+        return;
+    }
+    m_predecessor.clear();
+    if (isFirst && m_readsStore && now >= m_exchangeAt)
         exchange(now);
 }
 
@@ -286,6 +289,13 @@
     if (m_followed || now < m_predecessorAt)
         return;
     m_predecessorAt = now + std::max(kExchangePause, holdTime());
+    if (m_predecessor != predecessor.name) {
+        m_predecessor = predecessor.name;
+        LogLine(m_log, "predecessor-asked", now)
+            .add("router", predecessor.name)
+            .add("reason", "no router has fresh news")
+            .add("last_fresh", m_freshAt == TimePoint::min() ? Duration(0) : now - m_freshAt);
+    }
     ask(predecessor, Purpose::Follow, now);
 }
 
--- a/src/gateway/fleetlink.h
+++ b/src/gateway/fleetlink.h
@@ -186,6 +186,7 @@
     TimePoint m_freshAt = TimePoint::min(); ///< Of the last fresh news from another router.
     TimePoint m_exchangeAt = TimePoint::min();
     TimePoint m_predecessorAt = TimePoint::min();
+    std::string m_predecessor; ///< That was asked last; empty while news are fresh.
     TimePoint m_seedsAt = TimePoint::min();
     std::int64_t m_answerBytes = 0; ///< Of the last followed router's answer without records.
     bool m_readsStore = false;
