Tests: a router that was frozen in a server's pause

Change: ServerWordsTest freezes the loop for 0.8 s while four requests wait in its sockets, in a pause of 2 s (all refused, with what is left of it) and past one of 0.5 s (all served). Mutations: a pause that is not kept fails the first, one that is three times as long fails both.

--- a/tests/traffic/serverwordstest.cpp
+++ b/tests/traffic/serverwordstest.cpp
@@ -2,6 +2,11 @@
 // while.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <memory>
+#include <thread>
+#include <utility>
+#include <vector>
+
 #include "endingfleet.h"
 #include "onerouter.h"
 
@@ -37,6 +42,8 @@
     CPPUNIT_TEST(otherRoutersHearThatTheServerLeaves);
     CPPUNIT_TEST(pausedServerGetsNothingUntilItsPauseEnds);
     CPPUNIT_TEST(pauseWithFractionsOfASecondIsKept);
+    CPPUNIT_TEST(routerThatWasFrozenInAPauseKeepsItForWhatWaitedInItsSockets);
+    CPPUNIT_TEST(routerThatWasFrozenPastAPauseServesWhatWaitedInItsSockets);
     CPPUNIT_TEST(valuesThatAreNoSecondsArePlainRefusals);
     CPPUNIT_TEST(callerHearsAtOnceWhenTheFirstServerTakesWorkAgain);
     CPPUNIT_TEST(callersWithLessTimeLeftComeBackFirst);
@@ -208,6 +215,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), one.requestCount() + other.requestCount());
     }
 
+    void routerThatWasFrozenInAPauseKeepsItForWhatWaitedInItsSockets()
+    {
+        ScriptedServer server(m_loop, pausingOnce("2"));
+        serve(server, "e0");
+        call("/once/");
+        for (const auto &response : callFrozen(milliseconds(800))) {
+            CPPUNIT_ASSERT_EQUAL(503U, response.head.status);
+            const double after = std::stod(std::string(response.head.valueOf("Retry-After")));
+            CPPUNIT_ASSERT(after <= 2.0 - 0.8 + 0.3); // What is left of the pause, and the spread.
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), server.requestCount());
+    }
+
+    void routerThatWasFrozenPastAPauseServesWhatWaitedInItsSockets()
+    {
+        ScriptedServer server(m_loop, pausingOnce("0.5"));
+        serve(server, "e0");
+        call("/once/");
+        for (const auto &response : callFrozen(milliseconds(800)))
+            CPPUNIT_ASSERT_EQUAL(200U, response.head.status);
+        CPPUNIT_ASSERT_EQUAL(1 + kFrozenCalls, server.requestCount());
+    }
+
     void callersWithLessTimeLeftComeBackFirst()
     {
         ScriptedServer server(m_loop, [](ServerConnection &connection, const Request &) {
@@ -226,6 +256,41 @@
     }
 
 private:
+    static constexpr std::size_t kFrozenCalls = 4;
+
+    /// Turns the first request away for so many seconds and answers all others.
+    static ServerConnection::Script pausingOnce(const std::string &seconds)
+    {
+        return [seconds, isFirst = true](ServerConnection &connection,
+                                         const Request &request) mutable {
+            if (std::exchange(isFirst, false))
+                refuse(connection, "Retry-After: " + seconds + "\r\n");
+            else
+                connection.answer(request, "ran");
+        };
+    }
+
+    /// Requests that reach the router's sockets while it stands still for that long.
+    std::vector<RawCaller::Response> callFrozen(Duration time)
+    {
+        std::vector<std::unique_ptr<RawCaller>> callers;
+        for (std::size_t count = 0; count < kFrozenCalls; ++count) {
+            callers.push_back(std::make_unique<RawCaller>(m_loop, m_listener.port()));
+            callers.back()->send(requestTo("/again/"));
+        }
+        std::this_thread::sleep_for(time);
+        std::vector<RawCaller::Response> responses;
+        for (const auto &caller : callers) {
+            CPPUNIT_ASSERT(runUntil(m_loop, [&] {
+                auto response = caller->takeResponse();
+                if (response)
+                    responses.push_back(std::move(*response));
+                return response.has_value();
+            }));
+        }
+        return responses;
+    }
+
     static ServerConnection::Script leavingServer()
     {
         return [](ServerConnection &connection, const Request &request) {
@@ -279,8 +344,13 @@
 
     RawCaller::Response call(const std::string &path, const std::string &fields = {})
     {
-        return exchange("GET " + path + "x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q"
-                        + std::to_string(++m_ids) + "\r\n" + fields + "\r\n");
+        return exchange(requestTo(path, fields));
+    }
+
+    std::string requestTo(const std::string &path, const std::string &fields = {})
+    {
+        return "GET " + path + "x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q"
+            + std::to_string(++m_ids) + "\r\n" + fields + "\r\n";
     }
 
     std::uint64_t m_ids = 0;
