Placement: cold servers get what they bear

Cause: cold_remaining_ms and cold_per_s were not read. A server that starts ranks first for its prompts at all routers at once, and its load is heard of 0.3 s late.

Change: requests go to cold servers with the chance that what these bear has in all requests of the fleet (from the digest and the usual time of a request), and not beyond what the digest shows there. If all servers are cold, none is left out.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -9,6 +9,10 @@
 
 constexpr double kWaitWeight = 0.05; ///< Of one answer in a service's smoothed wait.
 constexpr Duration kLongestPause = milliseconds(300000); // then its word is asked for again
+constexpr double kHeldWeight = 0.05; ///< Of one sending in a service's smoothed time.
+/// Of what a cold server bears, the part that the mean cold server gets: much asked for prompts
+/// bring some servers several times the mean, and what the others sent is heard of late.
+constexpr double kColdPart = 0.5;
 constexpr std::uint32_t kMostSends =
     4; ///< Of one request, when servers do not run it: more is no help in time.
 
@@ -68,14 +72,39 @@
     });
     const auto paused = static_cast<std::uint32_t>(std::erase_if(
         input.replicas, [now](const auto &replica) { return now < replica->pausedUntil; }));
+    const std::uint32_t cold = spareCold(serviceName, input.replicas, now);
     input.usualWait = usualWait(serviceName);
     input.tieBreak = m_random();
     Choice choice = request.prompt.empty() ? m_waitChooser.choose(request, input, now)
                                            : chooseForPrompt(request, input, now);
     choice.paused = paused;
+    choice.cold = cold;
     return choice;
 }
 
+std::uint32_t Dispatcher::spareCold(const ServiceName &serviceName,
+                                    std::vector<std::shared_ptr<Replica>> &list, TimePoint now)
+{
+    const auto isCold = [now](const auto &replica) { return now < replica->coldUntil; };
+    const auto cold = std::count_if(list.begin(), list.end(), isCold);
+    const ServiceTraits *traits = m_table ? m_table->service(serviceName) : nullptr;
+    const bool areAll = cold == static_cast<std::ptrdiff_t>(list.size());
+    if (cold == 0 || areAll || !traits || traits->coldPerSecond <= 0)
+        return 0;
+    const double most = kColdPart * traits->coldPerSecond;
+    const double held = service(serviceName).heldUs / 1e6;
+    double requests = 0;
+    for (const auto &replica : m_replicas.alive(serviceName))
+        requests += replica->load.estimate(now);
+    // Requests at once over the time of one are requests a second.
+    const double wanted = held > 0 ? requests / held : 0;
+    std::uniform_real_distribution<double> uniform(0, wanted);
+    const bool mayGoThere = wanted <= 0 || uniform(m_random) < most * static_cast<double>(cold);
+    return static_cast<std::uint32_t>(std::erase_if(list, [&](const auto &replica) {
+        return isCold(replica) && !(mayGoThere && replica->load.estimate(now) < most * held);
+    }));
+}
+
 Choice Dispatcher::chooseForPrompt(const RequestFacts &request, ChoiceInput &input,
                                    TimePoint now) const
 {
@@ -216,8 +245,11 @@
                                usualFailureShare(replica), now);
 }
 
-void Dispatcher::onEnded(Replica &replica, const RequestFacts &request)
+void Dispatcher::onEnded(Replica &replica, const RequestFacts &request, Duration held)
 {
+    double &usual = service(replica.record.service).heldUs;
+    const auto sample = static_cast<double>(held.count());
+    usual = usual == 0 ? sample : usual + kHeldWeight * (sample - usual);
     const auto prompt = m_ownPrompts.find(promptHash(request));
     if (prompt != m_ownPrompts.end() && --prompt->second == 0)
         m_ownPrompts.erase(prompt);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -104,7 +104,8 @@
     void onBrokenOff(Replica &replica, TimePoint now);
     void onAbandoned(Replica &replica, Duration waited, TimePoint now);
     /// The request holds no place at the server any more.
-    void onEnded(Replica &replica, const RequestFacts &request);
+    /// `held`: since it was sent.
+    void onEnded(Replica &replica, const RequestFacts &request, Duration held);
 
     /// This router's requests at each server, by the hash of its incarnation.
     RequestCounts ownRequests() const;
@@ -125,10 +126,15 @@
         explicit Service(const RetryBudgetLimits &limits) : retries(limits) { }
         RetryBudget retries;
         double waitUs = 0; ///< Smoothed time to the first bytes over all servers.
+        double heldUs = 0; ///< Smoothed time from the sending to its end.
     };
 
     Service &service(const ServiceName &name);
     double usualFailureShare(const Replica &except) const;
+    /// Leaves cold servers out of `list` for so many requests that all routers together send them
+    /// no more than they bear. Returns how many.
+    std::uint32_t spareCold(const ServiceName &service, std::vector<std::shared_ptr<Replica>> &list,
+                            TimePoint now);
     Choice chooseForPrompt(const RequestFacts &request, ChoiceInput &input, TimePoint now) const;
 
     DispatcherSettings m_settings;
--- a/src/dispatch/fleetconfig.h
+++ b/src/dispatch/fleetconfig.h
@@ -59,6 +59,8 @@
 {
     ServiceName name;
     std::uint32_t maxConnections = 0; ///< Of all routers together, to one backend server.
+    /// Requests a second that one cold server takes from all routers together; 0: no bound.
+    double coldPerSecond = 0;
     std::optional<EngineTraits> engine;
 };
 
--- a/src/dispatch/replicachooser.h
+++ b/src/dispatch/replicachooser.h
@@ -31,6 +31,7 @@
     double load = 0;         ///< Estimate of the replica's requests that the choice went by.
     double bound = 0;        ///< Load that it was held against; 0 if none.
     double promptRequests = 0; ///< Of the fleet about the same prompt, as known here.
+    std::uint32_t cold = 0;    ///< Servers that were left out since they are cold.
     std::uint32_t paused = 0;  ///< Servers that were left out since they want nothing now.
 };
 
--- a/src/dispatch/replicatable.cpp
+++ b/src/dispatch/replicatable.cpp
@@ -32,7 +32,7 @@
             || (record.born == ended->second.born && record.sequence <= ended->second.sequence));
 }
 
-bool ReplicaTable::put(const ReplicaRecord &record, TimePoint now)
+bool ReplicaTable::put(const ReplicaRecord &record, TimePoint readAt, TimePoint now)
 {
     if (isStale(record))
         return false;
@@ -54,6 +54,7 @@
     const bool changed = isNew || replica->isLeaving != record.isDraining
         || replica->record.address != record.address || replica->record.service != record.service;
     replica->record = record;
+    replica->coldUntil = readAt + record.coldFor;
     replica->isLeaving = replica->isLeaving || record.isDraining;
     replica->doubtedUntil = kNever;
     m_ended.erase(record.id);
--- a/src/dispatch/replicatable.h
+++ b/src/dispatch/replicatable.h
@@ -29,6 +29,7 @@
     bool isDraining = false;
     std::uint64_t sequence = 0; ///< Counts the server's reports since its start.
     std::uint64_t born = 0;     ///< Unix milliseconds of its start.
+    Duration coldFor{0};        ///< From the report on: it bears few requests until then.
 };
 
 /// A backend server with what this router knows of it.
@@ -41,6 +42,7 @@
     TimePoint doubtedUntil = kNever;   ///< Its record lapsed with the store; gone after that time.
     /// It wants nothing from this router until then.
     TimePoint pausedUntil = TimePoint::min();
+    TimePoint coldUntil = TimePoint::min();
     ReplicaHealth health;
     ReplicaLoad load;
 };
@@ -62,7 +64,8 @@
     /// listed again; shorter than the time within which a leaving server must get no more work.
     explicit ReplicaTable(Duration lapseGrace) : m_lapseGrace(lapseGrace) { }
     /// A record without a removal. False if it tells nothing new.
-    bool put(const ReplicaRecord &record, TimePoint now);
+    bool put(const ReplicaRecord &record, TimePoint now) { return put(record, now, now); }
+    bool put(const ReplicaRecord &record, TimePoint readAt, TimePoint now);
     /// The server's record was removed, or can't be read; `readAt`: when the first router read so.
     void remove(const BackendId &id, TimePoint readAt, TimePoint now);
     /// The server itself said that another one has its address.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -240,6 +240,7 @@
         .add("load_age", m_replica->load.age(now))
         .add("prompt_requests", static_cast<std::int64_t>(choice.promptRequests))
         .add("paused", static_cast<std::int64_t>(choice.paused))
+        .add("cold", static_cast<std::int64_t>(choice.cold))
         .add("left", delivery.timeLeft)
         .add("prompt_from",
              choice.promptSource ? std::string_view(choice.promptSource->record.id.value())
@@ -479,7 +480,7 @@
 {
     if (!m_replica)
         return;
-    dispatcher().onEnded(*m_replica, m_facts);
+    dispatcher().onEnded(*m_replica, m_facts, now - m_sentAt);
     freePlace(now);
     if (m_connection)
         m_gateway.parts().pool.giveBack(m_replica->incarnation,
@@ -497,7 +498,7 @@
         dispatcher().crashes().onUnanswered(m_facts.fingerprint, m_replica->incarnation, now);
     if (std::exchange(m_waitsForAnswer, false))
         dispatcher().onAbandoned(*m_replica, now - m_sentAt, now);
-    dispatcher().onEnded(*m_replica, m_facts);
+    dispatcher().onEnded(*m_replica, m_facts, now - m_sentAt);
     freePlace(now);
     if (m_connection)
         std::exchange(m_connection, nullptr)->drop();
