Placement: a prompt has two engines while a zone is emptied

Cause, from all routers' logs: with a zone emptied the mean engine that bears load is at 0.64 of the fleet's bound, and requests come in clumps (15 in 0.12 s at one engine) faster than the news, 0.02 to 0.4 s old. No bound that goes by news helps.

Change: while a zone is emptied, and the others bear 1.25 times the service's mean, a prompt has two engines at least.

Test, failing before: ReplicaChooserTest::promptHasTwoEnginesWhileAZoneIsEmptied.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -73,6 +73,7 @@
     const auto paused = static_cast<std::uint32_t>(std::erase_if(
         input.replicas, [now](const auto &replica) { return now < replica->pausedUntil; }));
     const std::uint32_t cold = spareCold(serviceName, input.replicas, now);
+    input.isZoneEmptied = m_replicas.isAnyZoneEvacuated();
     input.usualWait = usualWait(serviceName);
     input.tieBreak = m_random();
     Choice choice = request.prompt.empty() ? m_waitChooser.choose(request, input, now)
--- a/src/dispatch/replicachooser.cpp
+++ b/src/dispatch/replicachooser.cpp
@@ -138,7 +138,9 @@
         const bool isFirst = std::none_of(full.begin(), full.end(), [&](const Ranked &entry) {
             return entry.weight > open.front().weight;
         });
-        const std::size_t width = widthOf(open, full, input.promptRequests, mean);
+        const std::size_t width =
+            std::max(widthOf(open, full, input.promptRequests, mean),
+                     std::min(open.size(), leastWidth(input, serviceMean, mean)));
         open.resize(width);
         chosen = lessLoadedOfTwo(open, input.tieBreak);
         choice.reason = width > 1 ? "one of the first in rank"
@@ -153,6 +155,11 @@
     return choice;
 }
 
+std::size_t PromptChooser::leastWidth(const ChoiceInput &input, double serviceMean, double openMean)
+{
+    return input.isZoneEmptied && openMean > kBearingFactor * serviceMean ? 2 : 1;
+}
+
 std::size_t PromptChooser::widthOf(const std::vector<Ranked> &open, const std::vector<Ranked> &full,
                                    double promptRequests, double meanLoad)
 {
--- a/src/dispatch/replicachooser.h
+++ b/src/dispatch/replicachooser.h
@@ -19,7 +19,8 @@
     std::vector<std::shared_ptr<Replica>> alive; ///< All that run, also those that are leaving.
     Duration usualWait;                          ///< Of the service, to the first bytes.
     std::uint64_t tieBreak = 0;                  ///< A random number of this choice.
-    double promptRequests = 0; ///< Of the whole fleet about the same prompt, at once.
+    double promptRequests = 0;  ///< Of the whole fleet about the same prompt, at once.
+    bool isZoneEmptied = false; ///< The operator empties one: others bear its servers' load.
 };
 
 struct Choice
@@ -79,6 +80,9 @@
     /// The service's load by its servers, those that get no new work for now too: by it the fleet's
     /// bound goes.
     static double meanOfService(const ChoiceInput &input, TimePoint now);
+    /// While the servers of a zone idle, the fleet's bound is near for those that bear its load:
+    /// every prompt has two, so that requests that come at once don't all go to one.
+    static std::size_t leastWidth(const ChoiceInput &input, double serviceMean, double openMean);
     /// Requests that a server takes before others with the same prompt do. `openMean`: of the
     /// servers that take new work.
     static double boundOf(const Replica &replica, double serviceMean, double openMean);
@@ -97,6 +101,8 @@
     /// at 2.8 times the usual load, 0.013 with this. Times the mean load, and requests over that.
     static constexpr double kFullFactor = 1.2;
     static constexpr double kFullSpare = 1;
+    /// Times the mean of all servers that those bear which take new work: a zone of four is empty.
+    static constexpr double kBearingFactor = 1.25;
     /// A prompt's requests grow on while the news of them travel.
     static constexpr double kPromptGrowth = 2;
 };
--- a/src/dispatch/replicatable.h
+++ b/src/dispatch/replicatable.h
@@ -80,6 +80,8 @@
     /// that was known.
     bool setEvacuated(const ZoneId &zone, bool isEvacuated);
 
+    bool isAnyZoneEvacuated() const { return !m_evacuated.empty(); }
+
     /// Between the two, and for the grace after, a missing record does not mean a server that
     /// left.
     void onStoreLost(TimePoint now);
--- a/tests/replicachoosertest.cpp
+++ b/tests/replicachoosertest.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(newEngineCopiesPromptsFromTheOneThatHadThem);
     CPPUNIT_TEST(leavingEngineIsStillACopySource);
     CPPUNIT_TEST(boundCountsTheIdleEnginesOfAnEvacuatedZone);
+    CPPUNIT_TEST(promptHasTwoEnginesWhileAZoneIsEmptied);
     CPPUNIT_TEST(unreachableEngineIsNeitherChosenNorCopiedFrom);
     CPPUNIT_TEST(hotPromptStaysWithinTheFleetsBoundOnLoad);
     CPPUNIT_TEST(slowServerGetsLessOfAPlainService);
@@ -130,6 +131,13 @@
         CPPUNIT_ASSERT(next.bound > 10);
     }
 
+    /// Bench: tsetseg-swarmline-now-grown hunt-b6be-3.
+    void promptHasTwoEnginesWhileAZoneIsEmptied()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, enginesOfAPrompt(true));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, enginesOfAPrompt(false));
+    }
+
     void unreachableEngineIsNeitherChosenNorCopiedFrom()
     {
         ChoiceInput input{replicas(6, 32), {}, {}, 1};
@@ -171,6 +179,24 @@
     }
 
 private:
+    /// To how many of nine engines that are a third full 64 requests about a prompt go; three more
+    /// take no work.
+    std::size_t enginesOfAPrompt(bool isZoneEmptied)
+    {
+        ChoiceInput input{replicas(9, 48), {}, {}, 1};
+        input.alive = input.replicas;
+        input.replicas.resize(6);
+        input.isZoneEmptied = isZoneEmptied;
+        for (const auto &replica : input.replicas) {
+            for (int request = 0; request < 10; ++request)
+                replica->load.onSent();
+        }
+        std::set<std::string> used;
+        for (input.tieBreak = 0; input.tieBreak < 64; ++input.tieBreak)
+            used.insert(m_prompts.choose(chat(5, 1), input, at(0)).replica->incarnation);
+        return used.size();
+    }
+
     /// The share of requests that reach an engine over the fleet's bound.
     double overloadedShare(bool routersTellEachOther) const
     {
--- a/tests/support/placementplay.cpp
+++ b/tests/support/placementplay.cpp
@@ -144,6 +144,7 @@
         const auto emptied = static_cast<std::ptrdiff_t>(
             m_load.emptiedShare * static_cast<double>(input.replicas.size()));
         input.replicas.erase(input.replicas.begin(), input.replicas.begin() + emptied);
+        input.isZoneEmptied = true;
     }
     input.tieBreak = m_random();
     const std::uint32_t prompt = promptHash(request);
