Tests: the reader can't ask for the crash that a lost ask told of

Since answers about routers carry crashes, the reader's own seed ask, once a second, can bring the crash before the follower's lost ask, which is allowed. Change: the follower answers nobody, so only an ask that tells it again can bring it.

--- a/tests/traffic/fleetlinktest.cpp
+++ b/tests/traffic/fleetlinktest.cpp
@@ -294,6 +294,7 @@
         third->link().stop();
         LinkedRouter &follower = *m_routers[0];
         reader().port.handler.isDeafToFollowers = true;
+        follower.port.handler.servesFrom = kNever; // The reader is not to ask for it.
         follower.feed.put({"~crashes", "request server", std::string(), 5});
         CPPUNIT_ASSERT(runRouters([&] { return reader().port.handler.lostRecords > 0; }));
         CPPUNIT_ASSERT(!reader().feed.find("~crashes", "request server"));
