--- a/src/dispatch/replicachooser.cpp
+++ b/src/dispatch/replicachooser.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <sstream>
 
 #include "placement/ranking.h"
 
@@ -52,6 +53,17 @@
     return static_cast<std::uint32_t>(key ^ key >> 32U);
 }
 
+std::string sharedPartIds(const RequestFacts &request)
+{
+    constexpr std::size_t kMaxListedParts = 8;
+    std::ostringstream ids;
+    ids << std::hex;
+    for (std::size_t index = 0; index + 1 < request.prompt.size() && index < kMaxListedParts;
+         ++index)
+        ids << (index == 0 ? "" : ",") << request.prompt[index].id;
+    return ids.str();
+}
+
 const PromptChooser::Candidate &
 PromptChooser::lessLoadedOfTwo(const std::vector<Candidate> &servers, std::uint64_t random)
 {
--- a/src/dispatch/requestfacts.h
+++ b/src/dispatch/requestfacts.h
@@ -59,4 +59,7 @@
 /// Hash by which routers refer to the request's shared prompt; 0 if it has none.
 std::uint32_t promptHash(const RequestFacts &request);
 
+/// Hexadecimal ids of the shared prompt parts, separated by commas, for log lines; at most eight.
+std::string sharedPartIds(const RequestFacts &request);
+
 } // namespace comfrey
--- a/src/gateway/proxiedrequest.cpp
+++ b/src/gateway/proxiedrequest.cpp
@@ -244,6 +244,7 @@
     LogLine(m_gateway.dependencies().log, "request-sent", now)
         .add("request", m_facts.id)
         .add("fingerprint", std::to_string(m_facts.fingerprint.value()))
+        .add("parts", sharedPartIds(m_facts))
         .add("server", m_replica->record.id.value())
         .add("reason", choice.reason)
         .add("load_tenths", static_cast<std::int64_t>(choice.load * 10))
@@ -261,6 +262,7 @@
                                                "service=\"" + m_admission.service.value() + "\"");
     m_sentAt = now;
     m_lastReceivedAt = now;
+    m_answerBegunAt = TimePoint::min();
     m_relay = Relay::None;
     m_isAwaitingAnswer = true;
     dispatcher().onAttemptStarted(*m_replica, m_facts, now);
@@ -373,6 +375,8 @@
 void ProxiedRequest::onBody(std::string_view bytes)
 {
     m_lastReceivedAt = m_gateway.now();
+    if (m_answerBegunAt == TimePoint::min())
+        m_answerBegunAt = m_lastReceivedAt;
     switch (m_relay) {
     case Relay::None:
     case Relay::Discard:
@@ -599,14 +603,19 @@
     const TimePoint now = m_gateway.now();
     const bool canRetry = !m_caller->hasStarted() || m_isResumable;
     const auto attempts = static_cast<std::uint32_t>(m_triedIncarnations.size());
-    LogLine(m_gateway.dependencies().log, "send-failed", now)
-        .add("request", m_facts.id)
-        .add("fingerprint", std::to_string(m_facts.fingerprint.value()))
-        .add("server",
-             m_triedIncarnations.empty() ? std::string_view()
-                                         : std::string_view(m_triedIncarnations.back()))
-        .add("after", now - m_sentAt)
-        .add("reason", reason);
+    {
+        LogLine line(m_gateway.dependencies().log, "send-failed", now);
+        line.add("request", m_facts.id)
+            .add("fingerprint", std::to_string(m_facts.fingerprint.value()))
+            .add("parts", sharedPartIds(m_facts))
+            .add("server",
+                 m_triedIncarnations.empty() ? std::string_view()
+                                             : std::string_view(m_triedIncarnations.back()))
+            .add("after", now - m_sentAt);
+        if (m_answerBegunAt != TimePoint::min())
+            line.add("answering", now - m_answerBegunAt);
+        line.add("reason", reason);
+    }
     if (canRetry && now < m_deadline
         && dispatcher().mayRetry(m_admission, result, attempts, m_possibleRuns, now)) {
         startAttempt();
--- a/src/gateway/proxiedrequest.h
+++ b/src/gateway/proxiedrequest.h
@@ -133,6 +133,8 @@
     TimePoint m_sentAt;                   ///< Start of the latest attempt.
     TimePoint m_lastReceivedAt; ///< Last bytes of the attempt's answer, or the attempt's start
                                 ///< before them.
+    TimePoint m_answerBegunAt = TimePoint::min(); ///< First body bytes of the latest attempt's
+                                                  ///< answer; min() before them.
     Lease m_lease; ///< Of the current attempt; its queue owner is empty without a lease.
     LeaseOutcome m_leaseOutcome =
         LeaseOutcome::Unused;        ///< Reported to the queue owner when the lease is released.
