Tests: different requests with one prompt part that crashes servers (known red)

Eight routers, twelve servers that start again after 0.8 s; each 150 ms one request with the part and three sound ones that share its caller and its other parts. The guard counts by the hash of the whole request, and no two are alike.

--- a/tests/traffic/crashingfleet.cpp
+++ b/tests/traffic/crashingfleet.cpp
@@ -106,7 +106,9 @@
         silence(server);
         return;
     }
-    if (request.body != "end") {
+    const std::string parts = ',' + std::string(request.head.valueOf("X-Prompt-Prefix"));
+    const bool isDeadly = parts.find(',' + std::string(kDeadlyPart) + ':') != std::string::npos;
+    if (request.body != "end" && !isDeadly) {
         connection.answer(request, "ran", server.isLeaving ? "Server-Leaving: 1\r\n" : "");
         return;
     }
@@ -125,13 +127,15 @@
     });
 }
 
-void CrashingFleet::send(std::size_t router, const std::string &path, const std::string &body)
+void CrashingFleet::send(std::size_t router, const std::string &path, const std::string &body,
+                         const std::string &promptParts)
 {
     Call call;
     call.body = body;
     call.caller = std::make_unique<RawCaller>(m_loop, m_routers.at(router)->callers.port());
     call.caller->send("POST " + path + "x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: q"
                       + std::to_string(++m_lastRequestId)
+                      + (promptParts.empty() ? "" : "\r\nX-Prompt-Prefix: " + promptParts)
                       + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     if (body == "dark" || body == "mute")
         call.disconnectAt = now() + callerTimeout;
--- a/tests/traffic/crashingfleet.h
+++ b/tests/traffic/crashingfleet.h
@@ -91,7 +91,10 @@
     /// - any other: the server answers.
     /// A silent server is removed from the list after `unlistingDelay`, and the caller of "dark"
     /// and "mute" disconnects after `callerTimeout`.
-    void send(std::size_t router, const std::string &path, const std::string &body);
+    /// - any that comes with the prompt part kDeadlyPart: as "end".
+    /// `promptParts` is a list "id:tokens,..." with hexadecimal ids, or empty.
+    void send(std::size_t router, const std::string &path, const std::string &body,
+              const std::string &promptParts = {});
     /// Runs the event loop, the routers' ticks and the scheduled actions for the given time.
     void run(Duration time);
     /// Runs the fleet until `done` returns true; returns false if the time limit of `runUntil`
@@ -100,6 +103,9 @@
     /// Starts one more router, which synchronises with the first one.
     void addRouter();
 
+    /// Prompt part that ends the server's process when it begins to run a request with it.
+    static constexpr std::string_view kDeadlyPart = "dead";
+
     std::size_t routerCount() const { return m_routers.size(); }
     ServingRouter &router(std::size_t index) { return *m_routers.at(index); }
     /// Times at which a request crashed or silenced a server.
--- a/tests/traffic/crashingrequesttest.cpp
+++ b/tests/traffic/crashingrequesttest.cpp
@@ -13,6 +13,8 @@
 
 /// Maximum number of crashes later than kMaxPropagationTime after the third one (incident BUDGET).
 constexpr std::size_t kMaxLateCrashes = 3;
+/// Crashes after which the limit of late ones applies to requests that share a prompt part.
+constexpr std::size_t kCrashesBeforeLimit = 5;
 /// Time for the whole fleet to learn of a crashing request; the platform's sites allow 3 to 5 s.
 constexpr Duration kMaxPropagationTime = milliseconds(1000);
 
@@ -29,6 +31,8 @@
     CPPUNIT_TEST(requestSilencingServersUnlistedBeforeCallerLeavesIsStopped);
     CPPUNIT_TEST(routerStartedLaterStopsCrashingRequest);
     CPPUNIT_TEST(otherRequestAfterCrashesIsServed);
+    CPPUNIT_TEST(differentRequestsWithOnePromptPartThatCrashesServersAreStopped);
+    CPPUNIT_TEST(soundRequestsThatShareOtherPromptPartsWithCrashingOnesAreServed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -111,7 +115,66 @@
             CPPUNIT_ASSERT_EQUAL(200U, status);
     }
 
+    /// Incident "crashing prompt part": no two of the requests are alike but for one part.
+    void differentRequestsWithOnePromptPartThatCrashesServersAreStopped()
+    {
+        CrashingFleet fleet(m_loop, 8, 12, milliseconds(800));
+        sendDeadlyAndSoundPrompts(fleet);
+        const std::vector<TimePoint> &crashTimes = fleet.crashTimes();
+        CPPUNIT_ASSERT(crashTimes.size() >= 2);
+        const auto late = crashTimes.size() <= kCrashesBeforeLimit
+            ? 0
+            : std::count_if(crashTimes.begin(), crashTimes.end(), [&](TimePoint at) {
+                  return at > crashTimes[kCrashesBeforeLimit - 1] + kMaxPropagationTime;
+              });
+        CPPUNIT_ASSERT_MESSAGE("crashes in total: " + std::to_string(crashTimes.size())
+                                   + ", later than the propagation time allows: "
+                                   + std::to_string(late),
+                               static_cast<std::size_t>(late) <= kMaxLateCrashes);
+    }
+
+    void soundRequestsThatShareOtherPromptPartsWithCrashingOnesAreServed()
+    {
+        CrashingFleet fleet(m_loop, 8, 12, milliseconds(800));
+        sendDeadlyAndSoundPrompts(fleet);
+        std::size_t sent = 0;
+        std::size_t answered = 0;
+        for (std::size_t round = kPromptRounds / 2; round < kPromptRounds; ++round) {
+            for (const unsigned status : fleet.statuses("sound" + std::to_string(round))) {
+                ++sent;
+                answered += status == 200 ? 1 : 0;
+            }
+        }
+        CPPUNIT_ASSERT(sent >= 20);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(answered) + " of " + std::to_string(sent)
+                                   + " sound requests were answered",
+                               answered * 10 >= sent * 9);
+    }
+
 private:
+    static constexpr std::size_t kPromptRounds = 32;
+
+    /// In each round one request with the deadly part, and three without it that share its caller,
+    /// its first part and, at times, its second one.
+    static void sendDeadlyAndSoundPrompts(CrashingFleet &fleet)
+    {
+        const std::string deadly = std::string(CrashingFleet::kDeadlyPart) + ":100,";
+        for (std::size_t round = 0; round < kPromptRounds; ++round) {
+            const std::string number = std::to_string(round);
+            for (std::size_t sound = 0; sound < 3; ++sound) {
+                const std::string second = std::to_string(200 + (round + sound) % 4) + ":50,";
+                const std::string last = "c" + number + std::to_string(sound) + ":10";
+                fleet.send((round + 3 * sound) % fleet.routerCount(), "/once/", "sound" + number,
+                           "1f:800," + second + last);
+            }
+            const std::string second = std::to_string(200 + round % 4) + ":50,";
+            fleet.send(round % fleet.routerCount(), "/once/", "deadly" + number,
+                       "1f:800," + second + deadly + "b" + number + ":10");
+            fleet.run(milliseconds(150));
+        }
+        CPPUNIT_ASSERT(fleet.runUntilDone([&] { return fleet.openCalls() == 0; }));
+    }
+
     /// Sends the crashing request to the routers in turn every 150 ms and checks that only a few
     /// reach servers once the fleet has received the crash updates.
     static void checkRepeatedCrashesStop(CrashingFleet &fleet)
