Crashes are attributed to the prompt parts that their requests share

Cause: the guard knew a request by the hash of caller and content only. Each crash was counted under a fingerprint of its own and no count exceeded one (610 lines server-crashed-under-request, crashes=1). With the parts in the log, one part is in the broken attempts of all crashes, and no attempt with it ever received a byte.

CrashAttribution searches the fewest causes that explain all crashes, as in group testing: a part or a whole request, most frequent first, then the most specific. Crashes at one moment count once; an answer that goes on for 0.3 s forgives the part's earlier crashes. Routers share reports and forgiving answers. A refused part stays refused until a probe, one request by one router, is answered; the period grows with the time over which it crashed servers. Sound requests beside it are no longer counted as suspects.

--- a/include/comfrey/ids.h
+++ b/include/comfrey/ids.h
@@ -71,7 +71,8 @@
 using Revision = Number<struct RevisionTag>;   ///< Counts accepted changes; 0 is the empty state.
 using Incarnation = Number<struct IncarnationTag>; ///< Grows with each start of a router.
 using FencingNumber = Number<struct FencingNumberTag>;
-using Fingerprint = Number<struct FingerprintTag>; ///< xxHash64 of customer and request body.
+using Fingerprint = Number<struct FingerprintTag>;   ///< xxHash64 of customer and request body.
+using PromptPartId = Number<struct PromptPartIdTag>; ///< A part that prompts of requests share.
 using PrefixHash = Number<struct PrefixHashTag>; ///< xxHash64 of a shared prompt prefix; 0 is none.
 
 } // namespace comfrey
--- a/src/dispatch/crashguard.cpp
+++ b/src/dispatch/crashguard.cpp
@@ -2,6 +2,7 @@
 #include "dispatch/crashguard.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace comfrey {
 
@@ -20,17 +21,18 @@
     return "unknown";
 }
 
-void CrashGuard::onAttemptUnanswered(Fingerprint request, const std::string &incarnation,
+void CrashGuard::onAttemptUnanswered(UnansweredAttempt attempt, const std::string &incarnation,
                                      TimePoint now)
 {
     if (const auto termination = m_terminations.find(incarnation);
         termination != m_terminations.end()) {
-        confirmCrash(request, incarnation, termination->second.evidence, Duration(0), now);
+        confirmCrash(std::move(attempt), incarnation, termination->second.evidence, Duration(0),
+                     now);
         return;
     }
     if (m_unresolvedAttemptCount >= kMaxUnresolvedAttempts)
         return;
-    m_unresolvedAttempts[incarnation].push_back({request, now});
+    m_unresolvedAttempts[incarnation].push_back({std::move(attempt), now});
     ++m_unresolvedAttemptCount;
 }
 
@@ -61,21 +63,36 @@
     const auto found = m_unresolvedAttempts.find(incarnation);
     if (found == m_unresolvedAttempts.end())
         return;
-    for (const UnresolvedAttempt &attempt : found->second)
-        confirmCrash(attempt.request, incarnation, evidence, now - attempt.endedAt, now);
+    for (UnresolvedAttempt &unresolved : found->second)
+        confirmCrash(std::move(unresolved.attempt), incarnation, evidence, now - unresolved.endedAt,
+                     now);
     m_unresolvedAttemptCount -= found->second.size();
     m_unresolvedAttempts.erase(found);
 }
 
-void CrashGuard::confirmCrash(Fingerprint request, const std::string &incarnation,
+void CrashGuard::confirmCrash(UnansweredAttempt attempt, const std::string &incarnation,
                               TerminationEvidence evidence, Duration detectionDelay, TimePoint now)
 {
-    if (recordCrash(request, incarnation, now))
-        m_findings.push_back({request, incarnation, evidence, detectionDelay});
+    if (recordCrash(attempt.request, incarnation, now) || !attempt.suspectParts.empty())
+        m_findings.push_back({attempt.request, incarnation, evidence, detectionDelay,
+                              std::move(attempt.suspectParts), attempt.sentAt});
+}
+
+void CrashGuard::setExplainedCrashes(const std::set<std::string> &incarnations)
+{
+    m_explainedCrashes = incarnations;
+    for (auto &[request, suspect] : m_suspects) {
+        std::erase_if(suspect.incarnations, [&](const std::string &incarnation) {
+            return incarnations.count(incarnation) > 0;
+        });
+    }
+    std::erase_if(m_suspects, [](const auto &entry) { return entry.second.incarnations.empty(); });
 }
 
 bool CrashGuard::recordCrash(Fingerprint request, const std::string &incarnation, TimePoint now)
 {
+    if (m_explainedCrashes.count(incarnation) > 0)
+        return false;
     if (m_suspects.size() >= kMaxSuspects && m_suspects.count(request) == 0)
         return false;
     SuspectRequest &suspect = m_suspects[request];
@@ -88,7 +105,7 @@
 void CrashGuard::onSuccess(Fingerprint request)
 {
     if (m_suspects.erase(request) > 0)
-        m_findings.push_back({request, {}});
+        m_findings.push_back({request, {}, {}, Duration(0), {}, {}});
 }
 
 Duration CrashGuard::refusalPeriod(const SuspectRequest &suspect)
--- a/src/dispatch/crashguard.h
+++ b/src/dispatch/crashguard.h
@@ -33,6 +33,16 @@
 /// Text of the evidence in log lines and metric labels.
 std::string_view nameOf(TerminationEvidence evidence);
 
+/// An attempt that ended without a complete answer though the server may have run the request.
+struct UnansweredAttempt
+{
+    Fingerprint request;
+    /// Shared prompt parts that may have crashed the server; empty if the answer had gone on after
+    /// its start.
+    std::vector<PromptPartId> suspectParts;
+    TimePoint sentAt;
+};
+
 /// A crash that this router attributes to a request, or the request's successful run.
 struct CrashFinding
 {
@@ -40,16 +50,23 @@
     std::string
         incarnation; ///< Incarnation of the server that terminated; empty if the request succeeded.
     TerminationEvidence evidence = TerminationEvidence::ConnectionRefused;
-    Duration detectionDelay{0}; ///< From the end of the attempt to the evidence.
+    Duration detectionDelay{0};             ///< From the end of the attempt to the evidence.
+    std::vector<PromptPartId> suspectParts; ///< As in UnansweredAttempt.
+    TimePoint sentAt;                       ///< Of the attempt.
 };
 
 /// Tracks suspect requests and decides for how long each is refused.
 class CrashGuard
 {
 public:
-    /// Records an attempt that ended without a complete answer though the server may have run it.
-    /// It counts as a crash if the server has terminated or does so soon after.
-    void onAttemptUnanswered(Fingerprint request, const std::string &incarnation, TimePoint now);
+    /// Records an attempt, which counts as a crash if the server has terminated or does so soon
+    /// after.
+    void onAttemptUnanswered(UnansweredAttempt attempt, const std::string &incarnation,
+                             TimePoint now);
+    void onAttemptUnanswered(Fingerprint request, const std::string &incarnation, TimePoint now)
+    {
+        onAttemptUnanswered({request, {}, now}, incarnation, now);
+    }
     /// The server answered a request that was sent at `sentAt`: attempts that ended until then did
     /// not crash it.
     void onServerAnswered(const std::string &incarnation, TimePoint sentAt);
@@ -64,6 +81,9 @@
     /// Records a crash found by this or another router. Returns false if it was already known or
     /// the table of suspects is full.
     bool recordCrash(Fingerprint request, const std::string &incarnation, TimePoint now);
+    /// Sets the incarnations of the servers that crashed for another known reason than the whole
+    /// request: they do not count against requests.
+    void setExplainedCrashes(const std::set<std::string> &incarnations);
     /// Another router reported that the request succeeded.
     void onRemoteSuccess(Fingerprint request) { m_suspects.erase(request); }
 
@@ -99,7 +119,7 @@
 
     struct UnresolvedAttempt
     {
-        Fingerprint request;
+        UnansweredAttempt attempt;
         TimePoint endedAt;
     };
 
@@ -117,7 +137,7 @@
     };
 
     /// Records the crash and, unless it was known, adds a finding for the other routers.
-    void confirmCrash(Fingerprint request, const std::string &incarnation,
+    void confirmCrash(UnansweredAttempt attempt, const std::string &incarnation,
                       TerminationEvidence evidence, Duration detectionDelay, TimePoint now);
     /// Refusal after the suspect's last crash; zero below kCrashesBeforeRefusal.
     static Duration refusalPeriod(const SuspectRequest &suspect);
@@ -128,6 +148,7 @@
     std::size_t m_unresolvedAttemptCount = 0;          ///< Over all incarnations.
     std::map<std::string, Termination> m_terminations; ///< By incarnation; without refused
                                                        ///< connections, which may be temporary.
+    std::set<std::string> m_explainedCrashes;          ///< Incarnations.
     std::vector<CrashFinding> m_findings;
 };
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -20,7 +20,8 @@
 } // namespace
 
 Dispatcher::Dispatcher(const DispatcherSettings &settings)
-    : m_settings(settings), m_replicas(settings.relistTimeout), m_random(settings.seed)
+    : m_settings(settings), m_replicas(settings.relistTimeout), m_crashAttribution(settings.router),
+      m_random(settings.seed)
 { }
 
 bool Dispatcher::apply(FleetConfig config)
@@ -56,11 +57,37 @@
         admission.refusal = Refusal::Quarantined;
         return admission;
     }
+    const std::vector<PromptPartId> parts = sharedParts(request);
+    admission.quarantineRemaining = m_crashAttribution.remainingRefusal(parts, now);
+    if (admission.quarantineRemaining > Duration(0)) {
+        admission.isProbe = m_crashAttribution.tryProbe(parts, now);
+        if (!admission.isProbe) {
+            admission.refusal = Refusal::PartQuarantined;
+            return admission;
+        }
+    }
     admission.service = chooseTarget(*admission.route, affinityKey(request));
     service(admission.service).retries.onRequest(now);
     return admission;
 }
 
+Duration Dispatcher::remainingQuarantine(const RequestFacts &request, const Admission &admission,
+                                         TimePoint now) const
+{
+    const Duration ofRequest = m_crashGuard.remainingRefusal(request.fingerprint, now);
+    if (admission.isProbe)
+        return ofRequest;
+    return std::max(ofRequest, m_crashAttribution.remainingRefusal(sharedParts(request), now));
+}
+
+std::vector<PartVerdict> Dispatcher::updateCrashAttribution(TimePoint now)
+{
+    std::vector<PartVerdict> changes = m_crashAttribution.update(now);
+    if (!changes.empty())
+        m_crashGuard.setExplainedCrashes(m_crashAttribution.explainedCrashes());
+    return changes;
+}
+
 Choice Dispatcher::choose(const RequestFacts &request, const ServiceName &serviceName,
                           const std::vector<std::string> &tried, TimePoint now)
 {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -17,6 +17,7 @@
 #include "dispatch/requestfacts.h"
 #include "dispatch/retrybudget.h"
 #include "dispatch/routetable.h"
+#include "quarantine/crashattribution.h"
 
 namespace comfrey {
 
@@ -30,13 +31,15 @@
     UnknownRoute,    ///< No route matches the host and path.
     UnknownKey,      ///< The API key belongs to no organisation.
     Quarantined,     ///< Earlier runs of the same request crashed their servers.
+    PartQuarantined, ///< Requests with one of its prompt parts crashed their servers.
 };
 
 /// The outcome of admission, under the configuration version that decided it.
 struct Admission
 {
     Refusal refusal = Refusal::None;
-    Duration quarantineRemaining{0};         ///< How long Refusal::Quarantined lasts.
+    Duration quarantineRemaining{0}; ///< How long Quarantined or PartQuarantined lasts.
+    bool isProbe = false; ///< Finds out whether a refused prompt part still crashes servers.
     std::shared_ptr<const RouteTable> table; ///< Owns `route` and `organisation`.
     const Route *route = nullptr;
     const Organisation *organisation = nullptr; ///< Null if the route needs no API key.
@@ -56,6 +59,7 @@
 {
     RetryBudgetLimits retries;
     Duration relistTimeout = milliseconds(1700); ///< See the constructor of ReplicaTable.
+    std::string router;                          ///< Name of this router.
     std::uint64_t seed = 0;                      ///< Seed of the generator that breaks ties.
 };
 
@@ -137,6 +141,12 @@
     }
 
     CrashGuard &crashGuard() { return m_crashGuard; }
+    CrashAttribution &crashAttribution() { return m_crashAttribution; }
+    /// Time for which an admitted request must not be sent to a server; zero if it may.
+    Duration remainingQuarantine(const RequestFacts &request, const Admission &admission,
+                                 TimePoint now) const;
+    /// Decides anew which prompt parts are refused. Returns what changed.
+    std::vector<PartVerdict> updateCrashAttribution(TimePoint now);
     /// Smoothed time from sending a request to the first bytes of a successful answer, over all
     /// servers of the service; zero before the first answer.
     Duration smoothedWait(const ServiceName &service) const;
@@ -169,6 +179,7 @@
     std::map<ServiceName, Service> m_services;
     TimePoint m_latestPauseEnd = TimePoint::min(); ///< No server is paused after this time.
     CrashGuard m_crashGuard;
+    CrashAttribution m_crashAttribution;
     RequestCounts m_localPromptRequests;
     RequestCounts m_remotePromptRequests;
     PromptChooser m_promptChooser;
--- a/src/dispatch/replicachooser.cpp
+++ b/src/dispatch/replicachooser.cpp
@@ -53,6 +53,14 @@
     return static_cast<std::uint32_t>(key ^ key >> 32U);
 }
 
+std::vector<PromptPartId> sharedParts(const RequestFacts &request)
+{
+    std::vector<PromptPartId> parts;
+    for (std::size_t index = 0; index + 1 < request.prompt.size(); ++index)
+        parts.emplace_back(request.prompt[index].id);
+    return parts;
+}
+
 std::string sharedPartIds(const RequestFacts &request)
 {
     constexpr std::size_t kMaxListedParts = 8;
--- a/src/dispatch/requestfacts.h
+++ b/src/dispatch/requestfacts.h
@@ -59,6 +59,9 @@
 /// Hash by which routers refer to the request's shared prompt; 0 if it has none.
 std::uint32_t promptHash(const RequestFacts &request);
 
+/// Ids of the shared prompt parts, in order: all but the last, which is the request's own.
+std::vector<PromptPartId> sharedParts(const RequestFacts &request);
+
 /// Hexadecimal ids of the shared prompt parts, separated by commas, for log lines; at most eight.
 std::string sharedPartIds(const RequestFacts &request);
 
--- a/src/gateway/crashupdates.cpp
+++ b/src/gateway/crashupdates.cpp
@@ -29,11 +29,16 @@
                         "evidence=\"" + std::string(nameOf(notice.evidence)) + '"');
         m_feed.put({kTopic, fingerprint + ' ' + notice.incarnation, std::string(), wallTime});
     }
-    return !notices.empty();
+    const bool hasEvidence = m_promptCrashes.publish(notices, wallTime, now);
+    return !notices.empty() || hasEvidence;
 }
 
 void CrashUpdates::apply(const FeedRecord &record, TimePoint now)
 {
+    if (record.topic != kTopic) {
+        m_promptCrashes.apply(record, now);
+        return;
+    }
     const std::size_t cut = std::min(record.key.find(' '), record.key.size());
     const std::string_view fingerprint = std::string_view(record.key).substr(0, cut);
     std::uint64_t number = 0;
@@ -59,6 +64,7 @@
 
 void CrashUpdates::dropExpired(std::uint64_t wallTime)
 {
+    m_promptCrashes.dropExpired(wallTime);
     m_feed.dropOlderThan(
         kTopic, wallTime - static_cast<std::uint64_t>(CrashGuard::kCrashRetention.count() / 1000));
 }
--- a/src/gateway/crashupdates.h
+++ b/src/gateway/crashupdates.h
@@ -5,7 +5,8 @@
 #include <cstdint>
 #include <string>
 
-#include "dispatch/crashguard.h"
+#include "dispatch/dispatcher.h"
+#include "gateway/promptcrashupdates.h"
 #include "routers/recordfeed.h"
 #include "telemetry/eventlog.h"
 #include "telemetry/metrics.h"
@@ -19,16 +20,20 @@
     /// Topic of the records; it is never in the platform's store.
     static constexpr const char *kTopic = "~crashes";
 
-    CrashUpdates(CrashGuard &guard, RecordFeed &feed, EventLog &log, Metrics &metrics)
-        : m_guard(guard), m_feed(feed), m_log(log), m_metrics(metrics)
+    CrashUpdates(Dispatcher &dispatcher, RecordFeed &feed, EventLog &log, Metrics &metrics)
+        : m_guard(dispatcher.crashGuard()), m_feed(feed), m_log(log), m_metrics(metrics),
+          m_promptCrashes(dispatcher, feed, log, metrics)
     { }
 
     /// Adds the crashes and cleared requests that this router detected since the last call to the
     /// feed. True if there are any. `wallTime` is in Unix milliseconds.
     bool publish(std::uint64_t wallTime, TimePoint now);
-    /// Passes a record of the topic to the crash guard; records of this router are applied too.
+    /// Applies a record of the topic or of those of PromptCrashUpdates, and ignores all others;
+    /// records of this router are applied too.
     void apply(const FeedRecord &record, TimePoint now);
-    /// Drops records older than the crash guard's memory of crashes. `wallTime` is in Unix
+    /// To be called after records were applied, and regularly.
+    void update(TimePoint now) { m_promptCrashes.update(now); }
+    /// Drops records older than the memory of crashes. `wallTime` is in Unix
     /// milliseconds.
     void dropExpired(std::uint64_t wallTime);
 
@@ -37,6 +42,7 @@
     RecordFeed &m_feed;
     EventLog &m_log;
     Metrics &m_metrics;
+    PromptCrashUpdates m_promptCrashes;
 };
 
 } // namespace comfrey
--- a/src/gateway/proxiedrequest.cpp
+++ b/src/gateway/proxiedrequest.cpp
@@ -33,6 +33,8 @@
 
 constexpr std::string_view kQuarantineReason =
     "this request crashed the backend servers that ran it";
+constexpr std::string_view kPartQuarantineReason =
+    "requests with a part of this prompt crashed the backend servers that ran them";
 
 /// Seconds with two decimals, rounded up; for Retry-After.
 std::string formatSeconds(Duration duration)
@@ -97,6 +99,10 @@
         m_gateway.dependencies().metrics.count("comfrey_requests_quarantined_total");
         refuse(503, kQuarantineReason, m_admission.quarantineRemaining);
         return true;
+    case Refusal::PartQuarantined:
+        m_gateway.dependencies().metrics.count("comfrey_requests_quarantined_total");
+        refuse(503, kPartQuarantineReason, m_admission.quarantineRemaining);
+        return true;
     }
     return false;
 }
@@ -263,6 +269,7 @@
     m_sentAt = now;
     m_lastReceivedAt = now;
     m_answerBegunAt = TimePoint::min();
+    m_isSoundReported = false;
     m_relay = Relay::None;
     m_isAwaitingAnswer = true;
     dispatcher().onAttemptStarted(*m_replica, m_facts, now);
@@ -377,6 +384,9 @@
     m_lastReceivedAt = m_gateway.now();
     if (m_answerBegunAt == TimePoint::min())
         m_answerBegunAt = m_lastReceivedAt;
+    else if (m_lastReceivedAt - m_answerBegunAt >= CrashAttribution::kAnswerStart
+             && m_relay != Relay::Discard)
+        reportSoundAnswer();
     switch (m_relay) {
     case Relay::None:
     case Relay::Discard:
@@ -458,6 +468,7 @@
             m_eventSplitter.discardIncompleteEvent();
         }
         completeAttempt(now);
+        reportSoundAnswer();
         dispatcher().crashGuard().onSuccess(m_facts.fingerprint);
         m_caller->finishResponse();
         finish("answered", 200, "");
@@ -487,8 +498,10 @@
         return;
     }
     const unsigned status = m_bufferedAnswer.head.status;
-    if (status / 100 == 2)
+    if (status / 100 == 2) {
+        reportSoundAnswer();
         dispatcher().crashGuard().onSuccess(m_facts.fingerprint);
+    }
     m_bufferedAnswer.head.removeAll("Content-Length");
     m_caller->respond(status, std::move(m_bufferedAnswer.head.fields), m_bufferedAnswer.body);
     finish("answered", status, "");
@@ -514,8 +527,7 @@
     const bool isAnswerPending =
         m_connection && m_connection->hasSent() && m_relay != Relay::Discard;
     if (isAnswerPending && now - m_lastReceivedAt >= kCrashSuspicionSilence)
-        dispatcher().crashGuard().onAttemptUnanswered(m_facts.fingerprint, m_replica->incarnation,
-                                                      now);
+        reportUnanswered(*m_replica, now);
     if (std::exchange(m_isAwaitingAnswer, false))
         dispatcher().onAbandoned(*m_replica, now - m_sentAt, now);
     dispatcher().onAttemptEnded(*m_replica, m_facts, now - m_sentAt);
@@ -550,8 +562,7 @@
         return;
     }
     if (kind == BreakKind::Closed)
-        dispatcher().crashGuard().onAttemptUnanswered(m_facts.fingerprint, replica->incarnation,
-                                                      now);
+        reportUnanswered(*replica, now);
     if (m_relay == Relay::None)
         ++m_possibleRuns;
     if (std::exchange(m_isAwaitingAnswer, false)) {
@@ -583,10 +594,26 @@
     retry();
 }
 
+void ProxiedRequest::reportUnanswered(const Replica &replica, TimePoint now)
+{
+    UnansweredAttempt attempt{m_facts.fingerprint, {}, m_sentAt};
+    if (!m_isSoundReported)
+        attempt.suspectParts = sharedParts(m_facts);
+    dispatcher().crashGuard().onAttemptUnanswered(std::move(attempt), replica.incarnation, now);
+}
+
+void ProxiedRequest::reportSoundAnswer()
+{
+    if (std::exchange(m_isSoundReported, true) || m_facts.prompt.empty())
+        return;
+    const TimePoint begunAt =
+        m_answerBegunAt == TimePoint::min() ? m_gateway.now() : m_answerBegunAt;
+    dispatcher().crashAttribution().onSoundAnswer(sharedParts(m_facts), begunAt);
+}
+
 bool ProxiedRequest::refuseIfQuarantined(TimePoint now)
 {
-    const Duration refusedFor =
-        dispatcher().crashGuard().remainingRefusal(m_facts.fingerprint, now);
+    const Duration refusedFor = dispatcher().remainingQuarantine(m_facts, m_admission, now);
     if (refusedFor <= Duration(0))
         return false;
     m_gateway.dependencies().metrics.count("comfrey_requests_quarantined_total");
--- a/src/gateway/proxiedrequest.h
+++ b/src/gateway/proxiedrequest.h
@@ -106,6 +106,10 @@
     /// Refuses the request since no server of the service accepts requests for `pause`. Retry-After
     /// tells the caller when to retry.
     void refuseForPause(Duration pause, TimePoint now);
+    /// Reports to the crash guard that the attempt's server may have crashed under it.
+    void reportUnanswered(const Replica &replica, TimePoint now);
+    /// Reports once an attempt whose answer went on after its start.
+    void reportSoundAnswer();
     /// Ends an attempt whose answer was not read whole; its connection is closed.
     void abortAttempt();
     /// Answers with an error and a Retry-After field, and ends the request.
@@ -135,6 +139,7 @@
                                 ///< before them.
     TimePoint m_answerBegunAt = TimePoint::min(); ///< First body bytes of the latest attempt's
                                                   ///< answer; min() before them.
+    bool m_isSoundReported = false; ///< The latest attempt's answer went on after its start.
     Lease m_lease; ///< Of the current attempt; its queue owner is empty without a lease.
     LeaseOutcome m_leaseOutcome =
         LeaseOutcome::Unused;        ///< Reported to the queue owner when the lease is released.
--- a/tests/traffic/crashingfleet.h
+++ b/tests/traffic/crashingfleet.h
@@ -23,11 +23,10 @@
 {
 public:
     ServingRouter(boost::asio::io_context &loop, const std::string &name, const std::string &seed)
-        : SyncedRouter(loop, name, 0, seed, true),
+        : SyncedRouter(loop, name, 0, seed, true), dispatcher(dispatcherSettings(name)),
           pool(loop, {milliseconds(350), milliseconds(1500), 16384}, milliseconds(8000)),
           gateway({loop, dispatcher, headers, pool, log, metrics, now}),
-          callers(loop, gateway, now, 200),
-          crashUpdates(dispatcher.crashGuard(), feed, log, metrics),
+          callers(loop, gateway, now, 200), crashUpdates(dispatcher, feed, log, metrics),
           leavingUpdates(dispatcher.replicas(), feed, log)
     {
         CPPUNIT_ASSERT(callers.listen("127.0.0.1:0"));
@@ -37,11 +36,12 @@
     {
         for (const FeedChange &change :
              feed.changesSince(std::exchange(appliedFeedNumber, feed.number()))) {
-            if (change.record->topic == CrashUpdates::kTopic)
-                crashUpdates.apply(*change.record, now());
-            else if (change.record->topic == LeavingUpdates::kTopic)
+            if (change.record->topic == LeavingUpdates::kTopic)
                 leavingUpdates.apply(*change.record, now());
+            else
+                crashUpdates.apply(*change.record, now());
         }
+        crashUpdates.update(now());
     }
 
     void tick()
@@ -57,6 +57,13 @@
         sync().tick(now());
     }
 
+    static DispatcherSettings dispatcherSettings(const std::string &name)
+    {
+        DispatcherSettings settings;
+        settings.router = name;
+        return settings;
+    }
+
     static std::uint64_t wallTime()
     {
         return static_cast<std::uint64_t>(now().time_since_epoch().count() / 1000);
@@ -64,7 +71,7 @@
 
     platform::PlatformHeaders headers;
     Metrics metrics;
-    Dispatcher dispatcher{DispatcherSettings{}};
+    Dispatcher dispatcher;
     BackendPool pool;
     Gateway gateway;
     CallerListener callers;
