A stream that ends inside an event has been broken off, in every framing

Callers could be given a torn last event in a stream that looked complete. Cause: the end of a stream without length or chunks was taken as the end of its last event; for streams that may not be resumed, and for chunks and lengths, the end was not looked at.

Streams of events are relayed in chunks and end complete only between events; else they go on at another server, if the route allows that, or are cut. An answer of another content type, or of none with a length, is no such stream. The tests on the end of a stream in BrokenStreamTest failed before (but for the one on whole streams) and pass.

--- a/src/gateway/eventsplitter.cpp
+++ b/src/gateway/eventsplitter.cpp
@@ -1,6 +1,8 @@
 // An empty line ends an event; lines end with LF or CRLF.
 #include "gateway/eventsplitter.h"
 
+#include <algorithm>
+
 namespace comfrey {
 
 namespace {
@@ -17,6 +19,23 @@
 
 } // namespace
 
+void EventBoundary::feed(std::string_view bytes)
+{
+    m_tail += bytes.substr(bytes.size() - std::min(bytes.size(), kTailBytes));
+    if (m_tail.size() > kTailBytes)
+        m_tail.erase(0, m_tail.size() - kTailBytes);
+}
+
+bool EventBoundary::isBetweenEvents() const
+{
+    return m_tail.empty() || m_tail.ends_with("\n\n") || m_tail.ends_with("\n\r\n");
+}
+
+bool EventSplitter::isBetweenEvents() const
+{
+    return m_incompleteEvent.find_first_not_of("\r\n") == std::string::npos;
+}
+
 std::string EventSplitter::feed(std::string_view bytes)
 {
     m_incompleteEvent.append(bytes);
--- a/src/gateway/proxiedrequest.cpp
+++ b/src/gateway/proxiedrequest.cpp
@@ -46,6 +46,17 @@
     return text;
 }
 
+/// True if the answer to a request for a stream holds events. Servers may omit the content type of
+/// a stream whose length is not known.
+bool isEventStream(const HttpHead &head)
+{
+    constexpr std::string_view type = "text/event-stream";
+    const std::string_view contentType = head.valueOf("Content-Type");
+    if (contentType.empty())
+        return !head.contentLength;
+    return sameFieldName(contentType.substr(0, type.size()), type);
+}
+
 /// The request target without its query.
 std::string_view pathOf(std::string_view target)
 {
@@ -322,8 +333,14 @@
             dispatcher().onAnswer(*m_replica, now - m_sentAt, now);
         }
         m_relay = Relay::Stream;
-        m_isResumable = m_admission.route->canResume && !head.contentLength;
+        m_isEventStream = isEventStream(head) && m_head.method != "HEAD";
+        m_isResumable = m_admission.route->canResume && m_isEventStream;
         m_eventSplitter.discardIncompleteEvent();
+        if (m_isEventStream) {
+            // With a length, a stream that ends inside an event would look complete to the caller.
+            head.contentLength.reset();
+            head.removeAll("Content-Length");
+        }
         if (!m_caller->hasStarted())
             m_caller->startResponse(head);
         return;
@@ -411,6 +428,8 @@
             return;
         }
     } else {
+        if (m_isEventStream)
+            m_eventBoundary.feed(bytes);
         m_caller->writeBody(bytes);
     }
     if (!m_hasFirstByte) {
@@ -423,6 +442,13 @@
         m_connection->setPaused(true);
 }
 
+bool ProxiedRequest::hasStreamEndedWhole() const
+{
+    if (!m_isEventStream)
+        return true;
+    return m_isResumable ? m_eventSplitter.isBetweenEvents() : m_eventBoundary.isBetweenEvents();
+}
+
 void ProxiedRequest::abortMalformedAnswer(std::string_view reason)
 {
     const auto self = shared_from_this();
@@ -462,9 +488,15 @@
         retryOrGiveUp(AttemptResult::NotRun, "the backend server did not run it");
         return;
     case Relay::Stream:
-        if (m_isResumable && !m_eventSplitter.incompleteEvent().empty()) {
-            // The end of the stream may end the last event in place of an empty line.
-            m_caller->writeBody(m_eventSplitter.incompleteEvent());
+        if (!hasStreamEndedWhole()) {
+            reportUnanswered(*replica, now);
+            dispatcher().onAnswerInterrupted(*replica, now);
+            abortAttempt();
+            onAttemptBroken(replica, "the stream ended inside an event");
+            return;
+        }
+        if (m_isResumable) {
+            m_caller->writeBody(m_eventSplitter.incompleteEvent()); // Line ends at most.
             m_eventSplitter.discardIncompleteEvent();
         }
         completeAttempt(now);
--- a/src/gateway/proxiedrequest.h
+++ b/src/gateway/proxiedrequest.h
@@ -83,6 +83,8 @@
     void completeAttempt(TimePoint now);
     /// Writes a part of a streamed body to the caller; of a resumable stream only whole events.
     void relayBody(std::string_view bytes);
+    /// True unless the answer is a stream of events that has ended inside an event.
+    bool hasStreamEndedWhole() const;
     /// Aborts an attempt whose answer has begun and is not well-formed.
     void abortMalformedAnswer(std::string_view reason);
     /// Starts to stream an answer that is too large to buffer.
@@ -151,6 +153,8 @@
     BufferedAnswer m_bufferedAnswer; ///< The answer that is being read with Relay::Buffer.
     BufferedAnswer m_fallbackAnswer; ///< A server's failure; relayed if no retry succeeds.
     EventSplitter m_eventSplitter;   ///< Splits streams that may be resumed into events.
+    EventBoundary m_eventBoundary;   ///< Of the other streams of events.
+    bool m_isEventStream = false;    ///< The answer is a stream of server-sent events.
     bool m_isResumable = false;  ///< The answer is a stream that can continue at another server.
     bool m_hasFirstByte = false; ///< A part of a streamed body was relayed.
     Duration m_firstByteLatency{
--- a/tests/traffic/onerouter.h
+++ b/tests/traffic/onerouter.h
@@ -17,6 +17,8 @@
 class OneRouter
 {
 protected:
+    explicit OneRouter(const DispatcherSettings &settings = {}) : m_dispatcher(settings) { }
+
     /// The record by which the router knows the server under `id`.
     static ReplicaRecord recordOf(const ScriptedServer &server, const std::string &id)
     {
@@ -50,7 +52,7 @@
     EventLog m_log{-1};
     Metrics m_metrics;
     platform::PlatformHeaders m_headers;
-    Dispatcher m_dispatcher{DispatcherSettings{}};
+    Dispatcher m_dispatcher;
     BackendPool m_pool{m_loop, {milliseconds(1000), milliseconds(3000), 16384}, milliseconds(8000)};
     Gateway m_gateway{{m_loop, m_dispatcher, m_headers, m_pool, m_log, m_metrics, now}};
     CallerListener m_listener{m_loop, m_gateway, now, 100};
