What the next server answers after a begun stream is checked before it is joined

Callers could find the text of a whole answer in the middle of their stream, or events twice: a 200 of another kind was relayed as if it went on with the stream, events were joined from whatever position the server chose, and a stream without event ids was started over.

An answer goes on with a stream only if it is one of events whose first id follows the last one (by one, if all did so far). Else the stream goes on elsewhere or is cut.

--- a/src/gateway/eventsplitter.cpp
+++ b/src/gateway/eventsplitter.cpp
@@ -2,11 +2,50 @@
 #include "gateway/eventsplitter.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <utility>
 
 namespace comfrey {
 
 namespace {
 
+/// The length of the first of some whole events, with the empty line that ends it.
+std::size_t lengthOfFirstEvent(std::string_view events)
+{
+    const std::size_t lf = events.find("\n\n");
+    const std::size_t crlf = events.find("\r\n\r\n");
+    if (lf < crlf)
+        return lf + 2;
+    return crlf == std::string_view::npos ? events.size() : crlf + 4;
+}
+
+/// The value of the event's field "id"; empty if it has none.
+std::string_view idOf(std::string_view event)
+{
+    std::size_t at = event.rfind("\nid:");
+    if (at != std::string_view::npos)
+        at += 4;
+    else if (event.starts_with("id:"))
+        at = 3;
+    else
+        return {};
+    std::string_view value = event.substr(at, event.find_first_of("\r\n", at) - at);
+    if (value.starts_with(' '))
+        value.remove_prefix(1);
+    return value;
+}
+
+std::optional<std::uint64_t> numberOf(std::string_view id)
+{
+    std::uint64_t number = 0;
+    const auto parsed = std::from_chars(id.data(), id.data() + id.size(), number);
+    if (parsed.ec != std::errc() || parsed.ptr != id.data() + id.size())
+        return std::nullopt;
+    return number;
+}
+
 /// The position after the last empty line, or 0 if there is none.
 std::size_t endOfWholeEvents(std::string_view text)
 {
@@ -36,29 +75,53 @@
     return m_incompleteEvent.find_first_not_of("\r\n") == std::string::npos;
 }
 
+void EventSplitter::resume()
+{
+    m_incompleteEvent.clear();
+    m_awaitsResumption = m_hasEvents;
+}
+
 std::string EventSplitter::feed(std::string_view bytes)
 {
     m_incompleteEvent.append(bytes);
     const std::size_t end = endOfWholeEvents(m_incompleteEvent);
     std::string whole = m_incompleteEvent.substr(0, end);
     m_incompleteEvent.erase(0, end);
-    updateLastEventId(whole);
-    return whole;
+    for (std::string_view rest = whole; !rest.empty() && !m_isOutOfOrder;) {
+        const std::size_t length = lengthOfFirstEvent(rest);
+        takeEvent(rest.substr(0, length));
+        rest.remove_prefix(length);
+    }
+    return m_isOutOfOrder ? std::string() : whole;
 }
 
-void EventSplitter::updateLastEventId(std::string_view events)
+void EventSplitter::takeEvent(std::string_view event)
 {
-    std::size_t at = events.rfind("\nid:");
-    if (at != std::string_view::npos)
-        at += 4;
-    else if (events.starts_with("id:"))
-        at = 3;
-    else
+    const std::string_view id = idOf(event);
+    const bool isEmpty = event.find_first_not_of("\r\n") == std::string_view::npos;
+    if (isEmpty || (id.empty() && !m_awaitsResumption)) {
+        m_hasEvents = m_hasEvents || !isEmpty;
         return;
-    std::string_view value = events.substr(at, events.find_first_of("\r\n", at) - at);
-    if (value.starts_with(' '))
-        value.remove_prefix(1);
-    m_lastEventId = value;
+    }
+    if (std::exchange(m_awaitsResumption, false) && !follows(id)) {
+        m_isOutOfOrder = true;
+        return;
+    }
+    const auto previous = numberOf(m_lastEventId);
+    const auto number = numberOf(id);
+    if (m_hasEvents)
+        m_isConsecutive = m_isConsecutive && previous && number && *number == *previous + 1;
+    m_hasEvents = true;
+    m_lastEventId = id;
+}
+
+bool EventSplitter::follows(std::string_view id) const
+{
+    const auto previous = numberOf(m_lastEventId);
+    const auto number = numberOf(id);
+    if (!previous || !number)
+        return !id.empty() && id != m_lastEventId;
+    return m_isConsecutive ? *number == *previous + 1 : *number > *previous;
 }
 
 } // namespace comfrey
--- a/src/gateway/eventsplitter.h
+++ b/src/gateway/eventsplitter.h
@@ -33,17 +33,30 @@
     const std::string &incompleteEvent() const { return m_incompleteEvent; }
     /// True if the bytes so far end between events.
     bool isBetweenEvents() const;
-    /// Forgets the bytes of the last event, as before a stream is resumed.
+    /// Forgets the bytes of the last event.
     void discardIncompleteEvent() { m_incompleteEvent.clear(); }
+    /// Another server continues the stream: its first event must follow the last whole one.
+    void resume();
+    /// True if the stream may be resumed: nothing was taken yet, or the last event has an id.
+    bool canResume() const { return !m_hasEvents || !m_lastEventId.empty(); }
+    /// True if the stream was resumed with an event that does not follow the last one. Its events
+    /// are not returned by feed().
+    bool isOutOfOrder() const { return m_isOutOfOrder; }
     /// Id of the last whole event that has one; empty if none has.
     const std::string &lastEventId() const { return m_lastEventId; }
 
 private:
-    /// Sets the last event's id from whole events.
-    void updateLastEventId(std::string_view events);
+    /// Updates the ids from one whole event.
+    void takeEvent(std::string_view event);
+    /// True if an event with this id may follow the last one.
+    bool follows(std::string_view id) const;
 
     std::string m_incompleteEvent;
     std::string m_lastEventId;
+    bool m_hasEvents = false;
+    bool m_isConsecutive = true;     ///< Each id so far was one more than the id before it.
+    bool m_awaitsResumption = false; ///< The next event is the first one of another server.
+    bool m_isOutOfOrder = false;
 };
 
 } // namespace comfrey
--- a/src/gateway/proxiedrequest.cpp
+++ b/src/gateway/proxiedrequest.cpp
@@ -327,15 +327,16 @@
     removeHopByHop(head);
     m_gateway.dependencies().codec.removeInternalFields(head);
     const bool isStream = m_admission.route->kind == RouteKind::Stream && head.status == 200;
-    if (isStream) {
+    const bool continuesStream = isStream && isEventStream(head);
+    if (isStream && (continuesStream || !m_caller->hasStarted())) {
         if (m_isAwaitingAnswer) {
             m_isAwaitingAnswer = false;
             dispatcher().onAnswer(*m_replica, now - m_sentAt, now);
         }
         m_relay = Relay::Stream;
-        m_isEventStream = isEventStream(head) && m_head.method != "HEAD";
+        m_isEventStream = continuesStream && m_head.method != "HEAD";
         m_isResumable = m_admission.route->canResume && m_isEventStream;
-        m_eventSplitter.discardIncompleteEvent();
+        m_eventSplitter.resume();
         if (m_isEventStream) {
             // With a length, a stream that ends inside an event would look complete to the caller.
             head.contentLength.reset();
@@ -423,6 +424,10 @@
 {
     if (m_isResumable) {
         m_caller->writeBody(m_eventSplitter.feed(bytes));
+        if (m_eventSplitter.isOutOfOrder()) {
+            abortMalformedAnswer("the stream was resumed from another event");
+            return;
+        }
         if (m_eventSplitter.incompleteEvent().size() > kMaxEventBytes) {
             abortMalformedAnswer("an event is too long");
             return;
@@ -660,7 +665,8 @@
 void ProxiedRequest::retryOrGiveUp(AttemptResult result, std::string_view reason)
 {
     const TimePoint now = m_gateway.now();
-    const bool canRetry = !m_caller->hasStarted() || m_isResumable;
+    const bool canRetry = !m_caller->hasStarted()
+        || (m_isResumable && m_eventSplitter.canResume() && !m_eventSplitter.isOutOfOrder());
     const auto attempts = static_cast<std::uint32_t>(m_triedIncarnations.size());
     {
         LogLine line(m_gateway.dependencies().log, "send-failed", now);
