--- a/src/traffic/callerlistener.cpp
+++ b/src/traffic/callerlistener.cpp
@@ -15,10 +15,12 @@
 Result<boost::asio::ip::tcp::endpoint> parseEndpoint(const std::string &address)
 {
     const std::size_t colon = address.rfind(':');
+    const char *end = address.data() + address.size();
     std::uint16_t port = 0;
-    if (colon == std::string::npos
-        || std::from_chars(address.data() + colon + 1, address.data() + address.size(), port).ec
-            != std::errc())
+    std::from_chars_result parsed{end, std::errc::invalid_argument};
+    if (colon != std::string::npos)
+        parsed = std::from_chars(address.data() + colon + 1, end, port);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
         return failure(ErrorCode::InvalidSettings, "address \"" + address + "\" is not IP:port");
     boost::system::error_code error;
     const auto ip = boost::asio::ip::make_address(address.substr(0, colon), error);
