comfreyd: an odd entry or event is left out instead of ending the process

Deep nesting was copied recursively; numbers were converted without a range check.

An entry that cannot be read, or whose address is not IP:port, is logged and left out, the others hold; a malformed log answer is a failed read; a malformed event breaks the attempt.

--- a/src/daemon/backendclient.cpp
+++ b/src/daemon/backendclient.cpp
@@ -1,10 +1,13 @@
 // Sends requests, probes and orders to back ends over HTTP.
 #include "daemon/backendclient.h"
 
+#include <limits>
+
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
 #include "daemon/chatsender.h"
+#include "daemon/platformanswers.h"
 #include "daemon/servicesender.h"
 #include "traffic/callerlistener.h"
 
@@ -20,16 +23,27 @@
 
 constexpr BackendConnectionLimits kLimits{kConnectTimeout, kSilentLimit, kMaxHeaderBytes};
 
+constexpr std::uint64_t kLargest = std::numeric_limits<std::uint64_t>::max();
+
+std::uint32_t countMember(const nlohmann::json &object, const char *name)
+{
+    return static_cast<std::uint32_t>(
+        unsignedMember(object, name, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
 std::vector<CacheEvent> cacheEventsOf(const nlohmann::json &body)
 {
     std::vector<CacheEvent> events;
-    for (const nlohmann::json &item : body.value("cache_events", nlohmann::json::array())) {
+    const auto list = body.find("cache_events");
+    if (list == body.end())
+        return events;
+    for (const nlohmann::json &item : *list) {
         CacheEvent event;
         event.change =
             item.value("change", "") == "evicted" ? CacheChange::Evicted : CacheChange::Stored;
         event.chat = ChatId(item.value("chat", ""));
-        event.sharedPrefix = PrefixHash(item.value("prefix", std::uint64_t{0}));
-        event.tokens = item.value("tokens", Tokens{0});
+        event.sharedPrefix = PrefixHash(unsignedMember(item, "prefix", 0, kLargest));
+        event.tokens = countMember(item, "tokens");
         events.push_back(std::move(event));
     }
     return events;
@@ -39,8 +53,11 @@
 std::vector<Id> idsOf(const nlohmann::json &body, const char *key)
 {
     std::vector<Id> ids;
-    for (const nlohmann::json &item : body.value(key, nlohmann::json::array()))
-        ids.emplace_back(item.get<std::string>());
+    const auto list = body.find(key);
+    if (list == body.end())
+        return ids;
+    for (const nlohmann::json &item : *list)
+        ids.emplace_back(item.get_ref<const std::string &>());
     return ids;
 }
 
@@ -48,15 +65,16 @@
 {
     LoadReport report;
     report.backend = backend;
-    report.measuredAt = TimePoint(Duration(body.value("measured_at_us", std::int64_t{0})));
-    report.running = body.value("running", 0U);
-    report.waiting = body.value("waiting", 0U);
-    report.slots = body.value("slots", 0U);
+    report.measuredAt = TimePoint(Duration(static_cast<std::int64_t>(
+        unsignedMember(body, "measured_at_us", 0, std::numeric_limits<std::int64_t>::max()))));
+    report.running = countMember(body, "running");
+    report.waiting = countMember(body, "waiting");
+    report.slots = countMember(body, "slots");
     report.leaving = body.value("leaving", false);
     report.models = idsOf<ModelId>(body, "models");
     report.adapters = idsOf<AdapterId>(body, "adapters");
     report.role = body.value("role", "");
-    report.newestOrder = FencingNumber(body.value("newest_order", std::uint64_t{0}));
+    report.newestOrder = FencingNumber(unsignedMember(body, "newest_order", 0, kLargest));
     report.cacheEvents = cacheEventsOf(body);
     return report;
 }
--- a/src/daemon/chatsender.cpp
+++ b/src/daemon/chatsender.cpp
@@ -2,9 +2,13 @@
 #include "daemon/chatsender.h"
 
 #include <algorithm>
+#include <limits>
 
+#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
+#include "daemon/platformanswers.h"
+
 namespace comfrey {
 
 namespace {
@@ -21,6 +25,11 @@
     return delta->value("content", "");
 }
 
+Tokens tokensMember(const nlohmann::json &object, const char *name)
+{
+    return static_cast<Tokens>(unsignedMember(object, name, 0, std::numeric_limits<Tokens>::max()));
+}
+
 } // namespace
 
 ChatSender::ChatSender(SendingParts &parts, SendToBackend order, std::shared_ptr<Exchange> exchange)
@@ -66,17 +75,28 @@
         || event["choices"].empty()) {
         return false;
     }
+    try {
+        return takeChunk(event);
+    } catch (const nlohmann::json::exception &error) {
+        LOG(WARNING) << "event=answer-unreadable request=" << order().request.value()
+                     << " backend=" << order().backend.value() << " reason=\"" << error.what()
+                     << '"';
+        return false;
+    }
+}
+
+bool ChatSender::takeChunk(const nlohmann::json &event)
+{
     const nlohmann::json &choice = event["choices"][0];
     const std::string id = event.value("id", "");
     if (const auto usage = event.find("usage"); usage != event.end() && usage->is_object()) {
-        m_summary.promptTokens = usage->value("prompt_tokens", Tokens{0});
+        m_summary.promptTokens = tokensMember(*usage, "prompt_tokens");
         // The engine counts from the position where it was asked to begin.
-        m_summary.completionTokens =
-            order().resumeAt + usage->value("completion_tokens", Tokens{0});
-        m_summary.cachedTokens = usage->value("cached_tokens", Tokens{0});
+        m_summary.completionTokens = order().resumeAt + tokensMember(*usage, "completion_tokens");
+        m_summary.cachedTokens = tokensMember(*usage, "cached_tokens");
     }
     const std::string text = contentOf(choice);
-    if (!text.empty() && !takeToken(id, event.value("position", Tokens{0}), text))
+    if (!text.empty() && !takeToken(id, tokensMember(event, "position"), text))
         return false;
     const auto reason = choice.find("finish_reason");
     if (reason == choice.end() || !reason->is_string())
--- a/src/daemon/chatsender.h
+++ b/src/daemon/chatsender.h
@@ -4,6 +4,8 @@
 #include <string>
 #include <string_view>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "daemon/backendsender.h"
 #include "relay/ssereader.h"
 
@@ -22,6 +24,8 @@
 
 private:
     bool takeEvent(std::string_view data);
+    /// As takeEvent(); throws nlohmann::json::exception if a member has another type.
+    bool takeChunk(const nlohmann::json &event);
     bool takeToken(const std::string &answerId, Tokens position, const std::string &text);
     bool takeLastChunk(const std::string &answerId, const std::string &finishReason);
     AttemptEnd endOf(Cause cause) const;
--- a/src/daemon/platformclient.cpp
+++ b/src/daemon/platformclient.cpp
@@ -1,9 +1,11 @@
 // The platform's interfaces over HTTP.
 #include "daemon/platformclient.h"
 
+#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
 #include "common/encoding.h"
+#include "daemon/platformanswers.h"
 
 namespace comfrey {
 
@@ -30,25 +32,6 @@
         || result.error() == httplib::Error::ConnectionTimeout;
 }
 
-Result<LogRead> logReadOf(const StreamId &stream, const std::string &text)
-{
-    const nlohmann::json body = nlohmann::json::parse(text, nullptr, false);
-    if (!body.is_object() || !body.contains("records") || !body["records"].is_array())
-        return failure(ErrorCode::MalformedMessage,
-                       "answer for stream \"" + stream.value() + "\" is malformed");
-    LogRead read;
-    read.stream = stream;
-    read.firstOffset = LogOffset(body.value("first", std::uint64_t{0}));
-    read.endOffset = LogOffset(body.value("end", std::uint64_t{0}));
-    for (const nlohmann::json &item : body["records"]) {
-        auto payload = decodeBase64(item.value("payload", ""));
-        if (!payload)
-            return tl::make_unexpected(payload.error());
-        read.records.push_back({LogOffset(item.value("offset", std::uint64_t{0})), *payload});
-    }
-    return read;
-}
-
 AppendAnswered appendAnsweredOf(const AppendToLog &order, const httplib::Result &result)
 {
     AppendAnswered answered{order.append, order.stream, AppendResult::Lost, {}};
@@ -58,42 +41,18 @@
         return answered;
     }
     const nlohmann::json body = nlohmann::json::parse(result->body, nullptr, false);
-    if (result->status == 200 && body.is_object() && body.contains("offset")) {
+    const auto offset = body.find("offset");
+    const auto appended = body.find("appended");
+    if (result->status == 200 && offset != body.end() && offset->is_number_unsigned()) {
         answered.result = AppendResult::Accepted;
-        answered.offset = LogOffset(body.value("offset", std::uint64_t{0}));
+        answered.offset = LogOffset(offset->get<std::uint64_t>());
     } else if (result->status == 429
-               || (body.is_object() && body.contains("appended")
-                   && !body.value("appended", true))) {
+               || (appended != body.end() && appended->is_boolean() && !appended->get<bool>())) {
         answered.result = AppendResult::Refused;
     }
     return answered;
 }
 
-InstanceKind kindOf(const std::string &text)
-{
-    if (text == "router")
-        return InstanceKind::Router;
-    return text == "service" ? InstanceKind::Service : InstanceKind::Engine;
-}
-
-Instance instanceOf(const nlohmann::json &item)
-{
-    Instance instance;
-    instance.id = item.value("id", "");
-    instance.kind = kindOf(item.value("kind", "engine"));
-    instance.state =
-        item.value("state", "live") == "leaving" ? InstanceState::Leaving : InstanceState::Live;
-    instance.zone = ZoneId(item.value("zone", ""));
-    instance.address = Endpoint(item.value("address", ""));
-    instance.operatorAddress = Endpoint(item.value("operator_address", ""));
-    for (const nlohmann::json &model : item.value("models", nlohmann::json::array()))
-        instance.models.emplace_back(model.get<std::string>());
-    instance.service = ServiceName(item.value("service", ""));
-    instance.slots = item.value("slots", 0U);
-    instance.checksFencing = item.value("checks_fencing", false);
-    return instance;
-}
-
 } // namespace
 
 PlatformClient::PlatformClient(const Endpoint &address, std::chrono::milliseconds timeout,
@@ -123,10 +82,13 @@
     const httplib::Result result = client->Get(path);
     if (!result || result->status != 200)
         return m_sink.post(LogReadFailed{order.stream});
-    Result<LogRead> read = logReadOf(order.stream, result->body);
+    Result<LogRead> read = readLogAnswer(order.stream, result->body);
     m_clients.giveBack(m_address, std::move(client));
-    if (!read)
+    if (!read) {
+        LOG(WARNING) << "event=log-unreadable stream=" << order.stream.value() << " reason=\""
+                     << read.error().text << '"';
         return m_sink.post(LogReadFailed{order.stream});
+    }
     m_sink.post(std::move(*read));
 }
 
@@ -161,15 +123,16 @@
     }
     if (!result || result->status != 200)
         return m_sink.post(InstanceListFailed{});
-    const nlohmann::json body = nlohmann::json::parse(result->body, nullptr, false);
+    Result<InstanceList> list = readInstanceList(result->body, [](const std::string &reason) {
+        LOG(WARNING) << "event=instance-unreadable reason=\"" << reason << '"';
+    });
     m_clients.giveBack(m_address, std::move(client));
-    if (!body.is_object() || !body.contains("instances"))
+    if (!list) {
+        LOG(WARNING) << "event=instance-list-unreadable reason=\"" << list.error().text << '"';
         return m_sink.post(InstanceListFailed{});
-    InstanceListRead read;
-    for (const nlohmann::json &item : body["instances"])
-        read.instances.push_back(instanceOf(item));
-    keepInstances(body.value("version", std::uint64_t{0}), read);
-    m_sink.post(std::move(read));
+    }
+    keepInstances(list->version, list->instances);
+    m_sink.post(std::move(list->instances));
 }
 
 // Asks for the list only if it changed, but from time to time in any case.
--- a/tests/threaded/chatsendertest.cpp
+++ b/tests/threaded/chatsendertest.cpp
@@ -59,6 +59,7 @@
     Tokens answerTokens = 6;
     Tokens cutBefore = 1000; ///< Position before which the connection is dropped.
     std::string answerId;    ///< Of another request, if set.
+    std::string oddEvent;    ///< Sent as the only event, if set.
     bool refuses = false;
     bool isSilent = false; ///< Answers only after `silence`.
     std::chrono::milliseconds silence{1500};
@@ -100,6 +101,12 @@
 
     bool writeNext(const std::string &id, Tokens first, Tokens &next, httplib::DataSink &sink) const
     {
+        if (!m_script.oddEvent.empty()) {
+            const std::string odd = "data: " + m_script.oddEvent + "\n\n";
+            sink.write(odd.data(), odd.size());
+            sink.done();
+            return true;
+        }
         if (next >= m_script.cutBefore)
             return false;
         const bool isLast = next + 1 >= m_script.answerTokens;
@@ -134,6 +141,7 @@
     CPPUNIT_TEST(answerResumedAtPositionIsCompleted);
     CPPUNIT_TEST(cutAnswerIsBrokenAndKeepsItsTokens);
     CPPUNIT_TEST(answerOfOtherRequestIsForeign);
+    CPPUNIT_TEST(eventWithMembersOfOtherTypesBreaksTheAnswer);
     CPPUNIT_TEST(refusalIsUnstarted);
     CPPUNIT_TEST(absentEngineIsNotConnected);
     CPPUNIT_TEST(cancelledAttemptEndsAtOnce);
@@ -181,6 +189,26 @@
         CPPUNIT_ASSERT_EQUAL(Tokens{0}, delivered());
     }
 
+    void eventWithMembersOfOtherTypesBreaksTheAnswer()
+    {
+        const std::string choice = R"("choices":[{"delta":{"content":"a"}}])";
+        const std::string nested = std::string(100000, '[') + std::string(100000, ']');
+        for (const std::string &odd :
+             {R"({"id":7,)" + choice + "}", R"({"id":"r-1","position":"0",)" + choice + "}",
+              R"({"id":"r-1","position":1e300,)" + choice + "}",
+              std::string(R"({"id":"r-1","choices":[{"delta":{"content":7}}]})"),
+              R"({"id":"r-1","usage":{"prompt_tokens":"1"},)" + choice + "}",
+              std::string(R"({"id":"r-1","choices":[7]})"),
+              R"({"id":)" + nested + "," + choice + "}", nested}) {
+            EngineScript script;
+            script.oddEvent = odd;
+            const ScriptedEngine engine(script);
+            CPPUNIT_ASSERT_MESSAGE(odd.substr(0, 60),
+                                   send(engine.address(), 0).how == AttemptEnd::BrokenInAnswer);
+            CPPUNIT_ASSERT_EQUAL(Tokens{0}, delivered());
+        }
+    }
+
     void refusalIsUnstarted()
     {
         EngineScript script;
