comfreyd: crashes of engines are attributed to the system prompt that chats share

The quarantine of the own interface knew a request by customer and body too: ten different chats with one system prompt that crashes engines ended 20 of them (ChatPartTest::differentChatsWithOneSystemPrompt... on the code before).

--- a/src/chat/chatattempts.cpp
+++ b/src/chat/chatattempts.cpp
@@ -175,6 +175,7 @@
     if (progress.tokens <= attempt.tokens)
         return;
     if (attempt.tokens == 0) {
+        attempt.answerBegunAt = now;
         onFirstToken(attempt, *request, progress.cachedPromptTokens, now, out);
     } else {
         const Duration perToken = (now - attempt.lastTokensAt) / (progress.tokens - attempt.tokens);
@@ -184,6 +185,8 @@
     }
     attempt.tokens = progress.tokens;
     attempt.lastTokensAt = now;
+    if (now - attempt.answerBegunAt >= CrashAttribution::kAnswerStart)
+        m_quarantine.onSoundAnswer(request->detail.sharedPrefix, attempt.answerBegunAt, now, out);
     request->priority = m_lengths.corrected(request->priority, request->delivered + attempt.tokens);
     if (attempt.tokens >= kClearingTokens)
         clearSuspect(*request);
@@ -232,6 +235,9 @@
     if (!completed)
         return onFailed(*request, attempt, ended, now, out);
     m_health.onSuccess(attempt.backend);
+    m_quarantine.onSoundAnswer(
+        request->detail.sharedPrefix,
+        attempt.answerBegunAt == TimePoint::min() ? now : attempt.answerBegunAt, now, out);
     m_quarantine.onRequestSucceeded(request->detail.fingerprint);
     m_lengths.learn(request->customer, request->detail, request->delivered + ended.tokens);
     m_placer.served(affinityKey(request->detail), request->detail.model, attempt.backend);
@@ -277,7 +283,21 @@
 {
     const Fingerprint fingerprint = request.detail.fingerprint;
     ++request.brokenEngines;
-    m_quarantine.onCrash(fingerprint, attempt.backend, now, out);
+    const bool hasGoneOn = attempt.answerBegunAt != TimePoint::min()
+        && now - attempt.answerBegunAt >= CrashAttribution::kAnswerStart;
+    m_quarantine.onCrash({fingerprint, hasGoneOn ? PrefixHash() : request.detail.sharedPrefix,
+                          attempt.backend, attempt.sentAt},
+                         now, out);
+    const Duration prefixRefusal =
+        m_quarantine.remainingPrefixRefusal(request.detail.sharedPrefix, now);
+    if (prefixRefusal > Duration(0)) {
+        giveUp(request,
+               {CallerError::Quarantined,
+                "requests with this system prompt crashed the engines that ran them",
+                prefixRefusal},
+               now, out);
+        return false;
+    }
     if (!m_quarantine.isRefused(fingerprint, now))
         return true;
     giveUp(request,
--- a/src/chat/chatpart.cpp
+++ b/src/chat/chatpart.cpp
@@ -40,6 +40,11 @@
     m_prober.tick(now, out);
     m_placer.tick(now, out);
     m_quarantine.tick(now);
+    for (const PartVerdict &verdict : m_quarantine.takeVerdicts())
+        out.push(WriteLogLine{
+            Severity::Info, verdict.isRefused ? "prompt-prefix-refused" : "prompt-prefix-accepted",
+            "prefix=" + std::to_string(verdict.part.value())
+                + " crashes=" + std::to_string(verdict.crashes)});
     watch(now, out);
     pump(now, out);
 }
@@ -48,7 +53,7 @@
                          Outbox &out)
 {
     if (const auto *notice = message.body.AsCrashNotice())
-        m_quarantine.onNotice(*notice, now);
+        m_quarantine.onNotice(*notice, from, now);
     m_placer.onMessage(from, message, now, out);
     pump(now, out);
 }
@@ -100,6 +105,12 @@
     if (m_quarantine.isRefused(fingerprint, now))
         return Refusal{CallerError::Quarantined, "the request crashed the engines that ran it",
                        m_quarantine.remainingRefusal(fingerprint, now)};
+    const PrefixHash prefix = request.detail.sharedPrefix;
+    const Duration prefixRefusal = m_quarantine.remainingPrefixRefusal(prefix, now);
+    if (prefixRefusal > Duration(0) && !m_quarantine.tryProbe(prefix, now))
+        return Refusal{CallerError::Quarantined,
+                       "requests with this system prompt crashed the engines that ran them",
+                       prefixRefusal};
     if (enginesServing(request.detail.model, m_context.fleet).empty())
         return noEngineLeft(request);
     const PlanLimits &limits = m_context.lists.lists().entitlements.at(plan.plan).limits;
--- a/src/chat/chatrequest.h
+++ b/src/chat/chatrequest.h
@@ -21,9 +21,10 @@
     RequestId request;
     BackendId backend;
     TimePoint sentAt;
-    TimePoint lastTokensAt; ///< Of the newest progress.
-    Tokens tokens = 0;      ///< That this attempt has brought, as far as known.
-    double slowness = 0;    ///< Highest latency over the usual one; 0 is unknown.
+    TimePoint lastTokensAt;                     ///< Of the newest progress.
+    TimePoint answerBegunAt = TimePoint::min(); ///< First token; min() before it.
+    Tokens tokens = 0;                          ///< That this attempt has brought, as far as known.
+    double slowness = 0; ///< Highest latency over the usual one; 0 is unknown.
     bool hedge = false;
     bool cancelled = false;
 };
--- a/tests/support/chatbench.cpp
+++ b/tests/support/chatbench.cpp
@@ -98,7 +98,7 @@
 }
 
 void ChatBench::arrive(const std::string &request, const std::string &chat, const std::string &key,
-                       Tokens maxTokens)
+                       Tokens maxTokens, PrefixHash sharedPrefix)
 {
     RequestArrived arrived;
     arrived.request = RequestId(request);
@@ -106,6 +106,7 @@
     arrived.detail.model = ModelId("m1");
     arrived.detail.chat = ChatId(chat);
     arrived.detail.fingerprint = Fingerprint(std::hash<std::string>{}(request));
+    arrived.detail.sharedPrefix = sharedPrefix;
     arrived.detail.promptTokens = 100;
     arrived.detail.maxTokens = maxTokens;
     arrived.detail.streamed = true;
--- a/tests/support/chatbench.h
+++ b/tests/support/chatbench.h
@@ -53,7 +53,8 @@
 
     void handle(const Event &event);
     void arrive(const std::string &request, const std::string &chat,
-                const std::string &key = "key0", Tokens maxTokens = 100);
+                const std::string &key = "key0", Tokens maxTokens = 100,
+                PrefixHash sharedPrefix = PrefixHash());
     void progress(const SendToBackend &sent, Tokens tokens);
     void end(const SendToBackend &sent, AttemptEnd how, Tokens tokens);
     void advance(Duration step);
