Requests sent to servers that were silent already do not make their prompts suspect

Cause: an attempt without an answer was taken to end when its caller gave up, so that two attempts at servers that had gone dark together looked like crashes one after the other. Log: prompt-part-refused for three parts, on up to 31 routers, all from attempts at dark servers.

A silent attempt counts against parts only if its answer had begun: the server was alive after the request was sent. The new CrashingRequestTest failed before with 503 for a sound request.

--- a/src/gateway/proxiedrequest.cpp
+++ b/src/gateway/proxiedrequest.cpp
@@ -497,7 +497,7 @@
         return;
     case Relay::Stream:
         if (!hasStreamEndedWhole()) {
-            reportUnanswered(*replica, now);
+            reportUnanswered(*replica, true, now);
             dispatcher().onAnswerInterrupted(*replica, now);
             abortAttempt();
             onAttemptBroken(replica, "the stream ended inside an event");
@@ -567,7 +567,7 @@
     const bool isAnswerPending =
         m_connection && m_connection->hasSent() && m_relay != Relay::Discard;
     if (isAnswerPending && now - m_lastReceivedAt >= kCrashSuspicionSilence)
-        reportUnanswered(*m_replica, now);
+        reportUnanswered(*m_replica, m_relay != Relay::None, now);
     if (std::exchange(m_isAwaitingAnswer, false))
         dispatcher().onAbandoned(*m_replica, now - m_sentAt, now);
     dispatcher().onAttemptEnded(*m_replica, m_facts, now - m_sentAt);
@@ -602,7 +602,7 @@
         return;
     }
     if (kind == BreakKind::Closed)
-        reportUnanswered(*replica, now);
+        reportUnanswered(*replica, true, now);
     if (m_relay == Relay::None)
         ++m_possibleRuns;
     if (std::exchange(m_isAwaitingAnswer, false)) {
@@ -634,10 +634,10 @@
     retry();
 }
 
-void ProxiedRequest::reportUnanswered(const Replica &replica, TimePoint now)
+void ProxiedRequest::reportUnanswered(const Replica &replica, bool wasAlive, TimePoint now)
 {
     UnansweredAttempt attempt{m_facts.fingerprint, {}, m_sentAt};
-    if (!m_isSoundReported)
+    if (wasAlive && !m_isSoundReported)
         attempt.suspectParts = sharedParts(m_facts);
     dispatcher().crashGuard().onAttemptUnanswered(std::move(attempt), replica.incarnation, now);
 }
--- a/src/gateway/proxiedrequest.h
+++ b/src/gateway/proxiedrequest.h
@@ -109,8 +109,9 @@
     /// Refuses the request since no server of the service accepts requests for `pause`. Retry-After
     /// tells the caller when to retry.
     void refuseForPause(Duration pause, TimePoint now);
-    /// Reports to the crash guard that the attempt's server may have crashed under it.
-    void reportUnanswered(const Replica &replica, TimePoint now);
+    /// Reports to the crash guard that the attempt's server may have crashed under it. With
+    /// `wasAlive` false, the server may have been down before the request was sent.
+    void reportUnanswered(const Replica &replica, bool wasAlive, TimePoint now);
     /// Reports once an attempt whose answer went on after its start.
     void reportSoundAnswer();
     /// Ends an attempt whose answer was not read whole; its connection is closed.
--- a/tests/traffic/crashingrequesttest.cpp
+++ b/tests/traffic/crashingrequesttest.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(routerStartedLaterStopsCrashingRequest);
     CPPUNIT_TEST(otherRequestAfterCrashesIsServed);
     CPPUNIT_TEST(differentRequestsWithOnePromptPartThatCrashesServersAreStopped);
+    CPPUNIT_TEST(partOfRequestsSentToServersThatWereSilentAlreadyIsNotRefused);
     CPPUNIT_TEST(soundRequestsThatShareOtherPromptPartsWithCrashingOnesAreServed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -133,6 +134,20 @@
                                static_cast<std::size_t>(late) <= kMaxLateCrashes);
     }
 
+    void partOfRequestsSentToServersThatWereSilentAlreadyIsNotRefused()
+    {
+        CrashingFleet fleet(m_loop, 3, 10, milliseconds(0));
+        const std::string shared = "1f:800,2e:50,";
+        for (int round = 0; round < 4; ++round) {
+            const std::string number = std::to_string(round);
+            fleet.send(0, "/once/" + number, "mute", shared + 'c' + number + ":10");
+            fleet.run(milliseconds(1500));
+        }
+        fleet.send(0, "/once/", "sound", shared + "d:10");
+        CPPUNIT_ASSERT(fleet.runUntilDone([&] { return fleet.openCalls() == 0; }));
+        CPPUNIT_ASSERT_EQUAL(200U, fleet.statuses("sound").front());
+    }
+
     void soundRequestsThatShareOtherPromptPartsWithCrashingOnesAreServed()
     {
         CrashingFleet fleet(m_loop, 8, 12, milliseconds(800));
