Tests: comfreyd does not believe an earlier refusal on a kept connection

With the check of the id taken out the second attempt ends as refused, unstarted; with it, as broken before its answer.

--- a/tests/threaded/chatsendertest.cpp
+++ b/tests/threaded/chatsendertest.cpp
@@ -10,6 +10,7 @@
 
 #include "common/httpserver.h"
 #include "daemon/backendclient.h"
+#include "traffic/loopback.h"
 
 using namespace comfrey;
 
@@ -143,6 +144,7 @@
     CPPUNIT_TEST(answerOfOtherRequestIsForeign);
     CPPUNIT_TEST(eventWithMembersOfOtherTypesBreaksTheAnswer);
     CPPUNIT_TEST(refusalIsUnstarted);
+    CPPUNIT_TEST(earlierRefusalRepeatedOnAKeptConnectionIsNotBelieved);
     CPPUNIT_TEST(absentEngineIsNotConnected);
     CPPUNIT_TEST(cancelledAttemptEndsAtOnce);
     CPPUNIT_TEST(silentEngineTimesOut);
@@ -217,6 +219,29 @@
         CPPUNIT_ASSERT(send(engine.address(), 0).how == AttemptEnd::RefusedUnstarted);
     }
 
+    void earlierRefusalRepeatedOnAKeptConnectionIsNotBelieved()
+    {
+        boost::asio::io_context loop{1};
+        int requests = 0;
+        loopback::ScriptedServer engine(
+            loop,
+            [&](loopback::ServerConnection &connection,
+                const loopback::ServerConnection::Request &) {
+                connection.write("HTTP/1.1 503 X\r\nX-Not-Started: 1\r\nContent-Length: 0\r\n\r\n");
+                if (++requests == 2)
+                    connection.close();
+            });
+        const Endpoint address(engine.address());
+        std::thread runner([&loop] { loop.run(); });
+        const AttemptEnded first = send(address, 0);
+        const AttemptEnded second = send(address, 0);
+        loop.stop();
+        runner.join();
+        CPPUNIT_ASSERT(first.how == AttemptEnd::RefusedUnstarted);
+        CPPUNIT_ASSERT_EQUAL(2, requests);
+        CPPUNIT_ASSERT(second.how == AttemptEnd::BrokenBeforeAnswer);
+    }
+
     void absentEngineIsNotConnected()
     {
         CPPUNIT_ASSERT(send(Endpoint("127.0.0.1:1"), 0).how == AttemptEnd::NotConnected);
