--- a/tests/crashattributiontest.cpp
+++ b/tests/crashattributiontest.cpp
@@ -139,7 +139,7 @@
     {
         const Fingerprint request(77);
         for (int index = 0; index < 4; ++index) {
-            const TimePoint crashedAt = at(100 + 200 * index);
+            const TimePoint crashedAt = at(100 + std::int64_t(200) * index);
             CrashCandidate candidate{request, {{kSecond, false}}, crashedAt - milliseconds(50)};
             m_attribution.recordCrash(
                 {"e" + std::to_string(index), "r1", crashedAt, {std::move(candidate)}});
@@ -205,7 +205,7 @@
     {
         std::uint64_t next = 1000;
         for (int index = 0; index < 400; ++index) {
-            CrashReport crash{"e" + std::to_string(index), "r1", at(index * 10), {}};
+            CrashReport crash{"e" + std::to_string(index), "r1", at(std::int64_t(index) * 10), {}};
             for (int request = 0; request < 100; ++request) {
                 CrashCandidate candidate{Fingerprint(++next), {}, at(index * 10 - 1)};
                 for (int part = 0; part < 20; ++part)
