A probe of a refused prompt part runs at one server only

On routes that allow retries the probe went on to a second server after the first had crashed under it, and at comfreyd it could be hedged: two servers for one answer. Found by reading; GatewayTest::probeOfARefusedPromptPartIsNotRetried failed before with 2 requests at servers instead of 1. The check that comfreyd does not hedge a probe has no test.

--- a/src/chat/chatattempts.cpp
+++ b/src/chat/chatattempts.cpp
@@ -149,7 +149,8 @@
 {
     const bool possible = !request.hedged && !request.winner && !request.search
         && m_placer.asksForSlots() && request.priority != Priority::Long
-        && !m_quarantine.isSuspect(request.detail.fingerprint, now);
+        && !m_quarantine.isSuspect(request.detail.fingerprint, now)
+        && m_quarantine.remainingPrefixRefusal(request.detail.sharedPrefix, now) == Duration(0);
     if (!possible || !m_hedgeBudget.tryWithdraw())
         return;
     request.hedged = true;
--- a/src/gateway/proxiedrequest.cpp
+++ b/src/gateway/proxiedrequest.cpp
@@ -653,6 +653,8 @@
 
 bool ProxiedRequest::refuseIfQuarantined(TimePoint now)
 {
+    if (m_possibleRuns > 0)
+        m_admission.isProbe = false; // One server shows whether the part still crashes servers.
     const Duration refusedFor = dispatcher().remainingQuarantine(m_facts, m_admission, now);
     if (refusedFor <= Duration(0))
         return false;
--- a/src/traffic/backendconnection.h
+++ b/src/traffic/backendconnection.h
@@ -116,8 +116,8 @@
     bool m_hasSent = false;
     bool m_paused = false;
     bool m_reading = false;
-    bool m_headGiven = false;    ///< The listener has the head of the present response.
-    bool m_discarding = false;   ///< The present response belongs to another request.
+    bool m_headGiven = false;         ///< The listener has the head of the present response.
+    bool m_discarding = false;        ///< The present response belongs to another request.
     std::uint64_t m_requestCount = 0; ///< Requests that went out, the present one included.
     std::uint32_t m_skipped = 0; ///< Interim and foreign responses before that of this request.
 };
--- a/src/traffic/backendpool.cpp
+++ b/src/traffic/backendpool.cpp
@@ -18,8 +18,7 @@
     while (found != m_idle.end() && !found->second.empty()) {
         Idle idle = std::move(found->second.back());
         found->second.pop_back();
-        if (idle.connection->isReusable() && now < idle.until
-            && !idle.connection->hasUnreadBytes())
+        if (idle.connection->isReusable() && now < idle.until && !idle.connection->hasUnreadBytes())
             return idle.connection;
         idle.connection->drop();
     }
--- a/tests/traffic/gatewaytest.cpp
+++ b/tests/traffic/gatewaytest.cpp
@@ -105,6 +105,7 @@
     CPPUNIT_TEST(ambiguousBodyLengthsAreRejected);
     CPPUNIT_TEST(pipelinedRequestsAreAnsweredInOrder);
     CPPUNIT_TEST(slowHeaderTimesOut);
+    CPPUNIT_TEST(probeOfARefusedPromptPartIsNotRetried);
     CPPUNIT_TEST(leaseOfARequestQuarantinedWhileItWaitsIsReleased);
     CPPUNIT_TEST_SUITE_END();
 
@@ -547,6 +548,35 @@
     }
 
     /// Crashes of servers that ran the request become known while it waits for a lease.
+    void probeOfARefusedPromptPartIsNotRetried()
+    {
+        const auto script = [](ServerConnection &connection, const Request &) {
+            connection.reset();
+        };
+        ScriptedServer one(m_loop, script);
+        ScriptedServer other(m_loop, script);
+        addServer(one);
+        addServer(other);
+        const TimePoint refusedSince = now() - CrashAttribution::kMinRefusal;
+        for (const int crash : {2, 1}) {
+            const TimePoint crashedAt = refusedSince - milliseconds(1000) * crash;
+            const Fingerprint request(static_cast<std::uint64_t>(crash));
+            m_dispatcher.crashAttribution().recordCrash(
+                {"earlier" + std::to_string(crash),
+                 std::string(),
+                 crashedAt,
+                 {{request, {{PromptPartId(0x2e), false}}, crashedAt - milliseconds(10)}}});
+        }
+        m_dispatcher.updateCrashAttribution(now());
+        const std::string parts = "X-Prompt-Prefix: 1f:800,2e:50,c1:10\r\n";
+        CPPUNIT_ASSERT_EQUAL(502U, call(get("r1", "/again/x", parts)).head.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), one.requestCount() + other.requestCount());
+        const auto refused = call(get("r2", "/again/y", parts));
+        CPPUNIT_ASSERT_EQUAL(503U, refused.head.status);
+        CPPUNIT_ASSERT(!refused.head.valueOf("Retry-After").empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), one.requestCount() + other.requestCount());
+    }
+
     void leaseOfARequestQuarantinedWhileItWaitsIsReleased()
     {
         DeferredLeaseSource leaseSource;
