A connection that breaks after a long silence does not make the prompt suspect

The log shows attempts at servers that had gone dark before: one broke after 1,500 ms (the connection's own limit), one after 591 ms, when its server was back and reset it.

Without a byte of the answer, a break counts against parts only within four times the usual wait for the first bytes, at least 500 ms. CrashingRequestTest::partOfRequestsWhoseConnectionsBrokeAfterLongSilence... failed before with 503 for a sound request; CrashingRequestTest: 12 passed.

--- a/src/gateway/proxiedrequest.cpp
+++ b/src/gateway/proxiedrequest.cpp
@@ -31,6 +31,11 @@
 /// unnoticed.
 constexpr Duration kCrashSuspicionSilence = milliseconds(1000);
 
+/// A connection that breaks after a longer wait for the answer may be one to a server that was down
+/// before the request was sent.
+constexpr Duration kMinOrdinaryWait = milliseconds(500);
+constexpr int kOrdinaryWaits = 4; ///< In units of the service's smoothed wait.
+
 constexpr std::string_view kQuarantineReason =
     "this request crashed the backend servers that ran it";
 constexpr std::string_view kPartQuarantineReason =
@@ -602,7 +607,7 @@
         return;
     }
     if (kind == BreakKind::Closed)
-        reportUnanswered(*replica, true, now);
+        reportUnanswered(*replica, m_relay != Relay::None || now - m_sentAt < ordinaryWait(), now);
     if (m_relay == Relay::None)
         ++m_possibleRuns;
     if (std::exchange(m_isAwaitingAnswer, false)) {
@@ -634,6 +639,12 @@
     retry();
 }
 
+Duration ProxiedRequest::ordinaryWait()
+{
+    return std::max(kMinOrdinaryWait,
+                    dispatcher().smoothedWait(m_admission.service) * kOrdinaryWaits);
+}
+
 void ProxiedRequest::reportUnanswered(const Replica &replica, bool wasAlive, TimePoint now)
 {
     UnansweredAttempt attempt{m_facts.fingerprint, {}, m_sentAt};
--- a/src/gateway/proxiedrequest.h
+++ b/src/gateway/proxiedrequest.h
@@ -112,6 +112,8 @@
     /// Reports to the crash guard that the attempt's server may have crashed under it. With
     /// `wasAlive` false, the server may have been down before the request was sent.
     void reportUnanswered(const Replica &replica, bool wasAlive, TimePoint now);
+    /// Wait for the first bytes within which servers of the service usually answer.
+    Duration ordinaryWait();
     /// Reports once an attempt whose answer went on after its start.
     void reportSoundAnswer();
     /// Ends an attempt whose answer was not read whole; its connection is closed.
--- a/tests/traffic/crashingfleet.cpp
+++ b/tests/traffic/crashingfleet.cpp
@@ -98,6 +98,10 @@
     }
     if (server.isSilent)
         return;
+    if (request.body == "late") {
+        schedule(kLateEnd, [this, &server] { endServer(server); });
+        return;
+    }
     if (request.body == "dark" || request.body == "mute") {
         if (request.body == "dark")
             connection.write("HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Request-Id: "
@@ -112,6 +116,11 @@
         connection.answer(request, "ran", server.isLeaving ? "Server-Leaving: 1\r\n" : "");
         return;
     }
+    endServer(server);
+}
+
+void CrashingFleet::endServer(Server &server)
+{
     m_crashTimes.push_back(now());
     server.processes.back()->end();
     schedule(m_restartDelay, [this, &server] { startServer(server); });
--- a/tests/traffic/crashingfleet.h
+++ b/tests/traffic/crashingfleet.h
@@ -92,6 +92,7 @@
     /// Sends a request with a new id and the given body through a router. The status of the answer
     /// is added to `statuses`, or 0 if there is none. The body selects what the server does:
     /// - "end": the server's process ends when it begins to run the request.
+    /// - "late": the server's process ends kLateEnd after it got the request.
     /// - "reset": the server resets the connection and keeps running.
     /// - "dark": the server falls silent for good after the first event of a stream.
     /// - "mute": the server falls silent for good before its answer.
@@ -113,6 +114,8 @@
     /// Prompt part that ends the server's process when it begins to run a request with it.
     static constexpr std::string_view kDeadlyPart = "dead";
 
+    static constexpr Duration kLateEnd = milliseconds(800);
+
     std::size_t routerCount() const { return m_routers.size(); }
     ServingRouter &router(std::size_t index) { return *m_routers.at(index); }
     /// Times at which a request crashed or silenced a server.
@@ -155,6 +158,7 @@
     };
 
     void startServer(Server &server);
+    void endServer(Server &server);
     /// Makes the server ignore all further requests except "reset" and schedules its removal from
     /// the list.
     void silence(Server &server);
--- a/tests/traffic/crashingrequesttest.cpp
+++ b/tests/traffic/crashingrequesttest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(otherRequestAfterCrashesIsServed);
     CPPUNIT_TEST(differentRequestsWithOnePromptPartThatCrashesServersAreStopped);
     CPPUNIT_TEST(partOfRequestsSentToServersThatWereSilentAlreadyIsNotRefused);
+    CPPUNIT_TEST(partOfRequestsWhoseConnectionsBrokeAfterLongSilenceIsNotRefused);
     CPPUNIT_TEST(soundRequestsThatShareOtherPromptPartsWithCrashingOnesAreServed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -136,16 +137,13 @@
 
     void partOfRequestsSentToServersThatWereSilentAlreadyIsNotRefused()
     {
-        CrashingFleet fleet(m_loop, 3, 10, milliseconds(0));
-        const std::string shared = "1f:800,2e:50,";
-        for (int round = 0; round < 4; ++round) {
-            const std::string number = std::to_string(round);
-            fleet.send(0, "/once/" + number, "mute", shared + 'c' + number + ":10");
-            fleet.run(milliseconds(1500));
-        }
-        fleet.send(0, "/once/", "sound", shared + "d:10");
-        CPPUNIT_ASSERT(fleet.runUntilDone([&] { return fleet.openCalls() == 0; }));
-        CPPUNIT_ASSERT_EQUAL(200U, fleet.statuses("sound").front());
+        checkPartOfSilentServersIsServed("mute");
+    }
+
+    /// A server that was down when the request was sent resets the connection once it is back.
+    void partOfRequestsWhoseConnectionsBrokeAfterLongSilenceIsNotRefused()
+    {
+        checkPartOfSilentServersIsServed("late");
     }
 
     void soundRequestsThatShareOtherPromptPartsWithCrashingOnesAreServed()
@@ -167,6 +165,22 @@
     }
 
 private:
+    /// Requests that differ in all but one prompt part end as `body` says, one after the other;
+    /// another one with the part is served.
+    void checkPartOfSilentServersIsServed(const std::string &body)
+    {
+        CrashingFleet fleet(m_loop, 3, 10, milliseconds(0));
+        const std::string shared = "1f:800,2e:50,";
+        for (int round = 0; round < 4; ++round) {
+            const std::string number = std::to_string(round);
+            fleet.send(0, "/once/" + number, body, shared + 'c' + number + ":10");
+            fleet.run(milliseconds(1500));
+        }
+        fleet.send(0, "/once/", "sound", shared + "d:10");
+        CPPUNIT_ASSERT(fleet.runUntilDone([&] { return fleet.openCalls() == 0; }));
+        CPPUNIT_ASSERT_EQUAL(200U, fleet.statuses("sound").front());
+    }
+
     static constexpr std::size_t kPromptRounds = 32;
 
     /// In each round one request with the deadly part, and three without it that share its caller,
