--- a/tests/threaded/chatsendertest.cpp
+++ b/tests/threaded/chatsendertest.cpp
@@ -194,14 +194,15 @@
     void eventWithMembersOfOtherTypesBreaksTheAnswer()
     {
         const std::string choice = R"("choices":[{"delta":{"content":"a"}}])";
+        std::string nestedId = R"({"id":)" + std::string(100000, '[');
         const std::string nested = std::string(100000, '[') + std::string(100000, ']');
+        nestedId += std::string(100000, ']') + ',' + choice + '}';
         for (const std::string &odd :
              {R"({"id":7,)" + choice + "}", R"({"id":"r-1","position":"0",)" + choice + "}",
               R"({"id":"r-1","position":1e300,)" + choice + "}",
               std::string(R"({"id":"r-1","choices":[{"delta":{"content":7}}]})"),
               R"({"id":"r-1","usage":{"prompt_tokens":"1"},)" + choice + "}",
-              std::string(R"({"id":"r-1","choices":[7]})"),
-              R"({"id":)" + nested + "," + choice + "}", nested}) {
+              std::string(R"({"id":"r-1","choices":[7]})"), nestedId, nested}) {
             EngineScript script;
             script.oddEvent = odd;
             const ScriptedEngine engine(script);
--- a/tests/traffic/crashingrequesttest.cpp
+++ b/tests/traffic/crashingrequesttest.cpp
@@ -3,6 +3,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <initializer_list>
+#include <string_view>
 
 #include "crashingfleet.h"
 
@@ -165,6 +167,23 @@
     }
 
 private:
+    static std::string ownPart(char prefix, const std::string &number)
+    {
+        std::string part(1, prefix);
+        part += number;
+        part += ":10";
+        return part;
+    }
+
+    /// "id:tokens" of all parts of a prompt.
+    static std::string promptOf(std::initializer_list<std::string_view> parts)
+    {
+        std::string prompt;
+        for (const std::string_view part : parts)
+            prompt += part;
+        return prompt;
+    }
+
     /// Requests that differ in all but one prompt part end as `body` says, one after the other;
     /// another one with the part is served.
     void checkPartOfSilentServersIsServed(const std::string &body)
@@ -173,7 +192,7 @@
         const std::string shared = "1f:800,2e:50,";
         for (int round = 0; round < 4; ++round) {
             const std::string number = std::to_string(round);
-            fleet.send(0, "/once/" + number, body, shared + 'c' + number + ":10");
+            fleet.send(0, "/once/" + number, body, shared + ownPart('c', number));
             fleet.run(milliseconds(1500));
         }
         fleet.send(0, "/once/", "sound", shared + "d:10");
@@ -192,13 +211,13 @@
             const std::string number = std::to_string(round);
             for (std::size_t sound = 0; sound < 3; ++sound) {
                 const std::string second = std::to_string(200 + (round + sound) % 4) + ":50,";
-                const std::string last = "c" + number + std::to_string(sound) + ":10";
+                const std::string last = ownPart('c', number + std::to_string(sound));
                 fleet.send((round + 3 * sound) % fleet.routerCount(), "/once/", "sound" + number,
-                           "1f:800," + second + last);
+                           promptOf({"1f:800,", second, last}));
             }
             const std::string second = std::to_string(200 + round % 4) + ":50,";
             fleet.send(round % fleet.routerCount(), "/once/", "deadly" + number,
-                       "1f:800," + second + deadly + "b" + number + ":10");
+                       promptOf({"1f:800,", second, deadly, ownPart('b', number)}));
             fleet.run(milliseconds(150));
         }
         CPPUNIT_ASSERT(fleet.runUntilDone([&] { return fleet.openCalls() == 0; }));
