Tests: two comments of GatewayTest say what the tests do

One claimed that the repeated refusal is unread when the next request goes out; the test does not force that order (connectionWithUnreadBytesIsNotReused does).

--- a/tests/traffic/gatewaytest.cpp
+++ b/tests/traffic/gatewaytest.cpp
@@ -181,7 +181,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), server.connectionCount());
     }
 
-    /// The request that was refused first, and the answer to it as the server repeats it.
+    /// A refusal with the field that names its request, or without one.
     static std::string refusal(const std::string &idField)
     {
         return "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\n" + idField + "Content-Length: 0\r\n\r\n";
@@ -623,7 +623,7 @@
         });
         addServer(server);
         CPPUNIT_ASSERT_EQUAL(503U, call(get("r1", "/once/x")).head.status);
-        // The router has not read these bytes when it sends the next request.
+        // Whether the router reads these bytes before or after the next request is left open.
         server.connection(0).write(refusal(idField));
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
         const auto response = call(get("r2", "/once/x"));
