Review case 1: a crashing request is never refused if its caller leaves early

The earlier cases 1 to 3 become 2 to 4, by gravity. Their removal now follows the last listed replica by 15 ms, and the deletion the removal by 40 ms.

Shown: a request that crashes each replica that begins to run it comes every 2 s; its requester leaves after 75 ms, the replica ends after 150 ms. Each sending crashes a replica (rule BUDGET), and what it ran is lost.

Code at fault: ProxiedRequest::onCallerGone aborts the attempt, and abortAttempt reports it to the crash guard only after 1 s of silence.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,7 +6,7 @@
 root=$(cd "$folder/../.." && pwd)
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
-timeout -k 5 110 "$root/build/review/caselostremoval" "$root/target/platform/comfrey-node" "$folder" "$work" older
+timeout -k 5 110 "$root/build/review/caserestartedreader" "$root/target/platform/comfrey-node" "$folder" "$work"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- /dev/null
+++ b/review/standins/casecancelledcrash.cpp
@@ -0,0 +1,39 @@
+// A request that crashes each replica that begins to run it comes again and again. Its requester
+// leaves before the replica has ended.
+#include <iostream>
+
+#include "crashingrequest.h"
+
+using namespace comfrey;
+using namespace comfrey::review;
+
+namespace {
+
+constexpr Duration kCrashTime = milliseconds(150); ///< Of a replica, from the start of the run.
+constexpr Duration kLeaves = milliseconds(75);     ///< Half of the route's objective.
+constexpr Duration kWaits = milliseconds(4000);    ///< Without the disruption.
+constexpr Duration kPause = milliseconds(2000);    ///< Between two sendings of the request.
+constexpr int kSendings = 16;
+
+} // namespace
+
+int main(int argumentCount, char **arguments)
+{
+    if (argumentCount < 4) {
+        std::cerr << "usage: casecancelledcrash ROUTER_PROGRAM RECORD_FOLDER TEMPORARY_FOLDER\n";
+        return 2;
+    }
+    Fleet fleet(argumentCount, arguments, 3);
+    CrashingRequest request(fleet, kCrashTime);
+    fleet.publishConfig("non_idempotent", 2500);
+    for (int count = 0; count < 6; ++count)
+        request.startReplica();
+    fleet.startRouters();
+    fleet.run(milliseconds(4000), 0);
+    fleet.run(milliseconds(3000), kPerSecond);
+    for (int sending = 0; sending < kSendings; ++sending) {
+        request.send(Fleet::hasTrouble() ? kLeaves : kWaits);
+        fleet.run(kPause, kPerSecond);
+    }
+    return request.isRuleBroken() ? 1 : 0;
+}
--- a/review/standins/caselostremoval.cpp
+++ b/review/standins/caselostremoval.cpp
@@ -30,11 +30,11 @@
     fleet.startReplica("zone-c");
     fleet.run(milliseconds(3), kPerSecond);
     Replica &last = fleet.startReplica("zone-a");
-    fleet.run(milliseconds(30), kPerSecond);
+    fleet.run(milliseconds(15), kPerSecond);
     Replica &leaving = isNewest ? last : fleet.replica(1);
     const std::int64_t ackedAt = record.nowMs();
     fleet.removeEntry(leaving, milliseconds(12000));
-    fleet.run(milliseconds(60), kPerSecond);
+    fleet.run(milliseconds(40), kPerSecond);
     const std::int64_t calmFrom = record.nowMs() + kStableWindowMs;
     if (Fleet::hasTrouble()) {
         fleet.store().compact();
--- a/review/standins/fleet.cpp
+++ b/review/standins/fleet.cpp
@@ -168,33 +168,39 @@
                       [](const auto &member) { return member->takesRequests; }));
     if (count == 0)
         return;
-    std::size_t turn = m_sentCount++ % count;
+    std::size_t turn = m_sentCount % count;
     for (const auto &member : m_members) {
         if (!member->takesRequests || turn-- > 0)
             continue;
-        Call call;
-        call.id = "q" + std::to_string(m_sentCount);
-        call.sentAt = now();
-        call.caller = std::make_shared<RawCaller>(m_loop, member->router->callers());
-        call.caller->send("POST /dispatch/trucks HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: "
-                          + call.id
-                          + "\r\nX-Deadline-Ms: " + std::to_string(kPatience.count() / 1000)
-                          + "\r\nAuthorization: Bearer herder-key\r\nContent-Length: "
-                          + std::to_string(call.id.size()) + "\r\n\r\n" + call.id);
-        m_record.onSent(call.id, member->router->name());
-        m_calls.push_back(std::move(call));
+        sendTo(*member, "dispatch " + std::to_string(m_sentCount));
         return;
     }
 }
 
+void Fleet::sendTo(Member &member, const std::string &body, Duration patience)
+{
+    Call call;
+    call.id = "q" + std::to_string(++m_sentCount);
+    call.leavesAt = now() + patience;
+    call.caller = std::make_shared<RawCaller>(m_loop, member.router->callers());
+    call.caller->send("POST /dispatch/trucks HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: "
+                      + call.id + "\r\nX-Deadline-Ms: " + std::to_string(kPatience.count() / 1000)
+                      + "\r\nAuthorization: Bearer herder-key\r\nContent-Length: "
+                      + std::to_string(body.size()) + "\r\n\r\n" + body);
+    m_record.onSent(call.id, member.router->name());
+    m_calls.push_back(std::move(call));
+}
+
 void Fleet::look()
 {
     for (auto call = m_calls.begin(); call != m_calls.end();) {
         if (const auto response = call->caller->takeResponse()) {
             m_record.onAnswered(call->id, response->head.status,
                                 std::string(response->head.valueOf("X-Replica-Id")));
-        } else if (call->caller->isClosed() || now() - call->sentAt > kPatience) {
+        } else if (call->caller->isClosed()) {
             m_record.onClosed(call->id);
+        } else if (now() >= call->leavesAt) {
+            m_record.note("requester leaves " + call->id);
         } else {
             ++call;
             continue;
--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -48,6 +48,8 @@
     /// Runs the loop; meanwhile requesters send `perSecond` requests a second, in turn to each
     /// router that takes requests.
     void run(Duration time, int perSecond);
+    /// Sends one request with this body to this router. The requester leaves after `patience`.
+    void sendTo(Member &member, const std::string &body, Duration patience = milliseconds(4000));
     void later(Duration after, std::function<void()> action);
 
     Record &record() { return m_record; }
@@ -62,7 +64,7 @@
     {
         std::string id;
         std::shared_ptr<loopback::RawCaller> caller;
-        TimePoint sentAt;
+        TimePoint leavesAt;
     };
 
     void send();
--- a/review/standins/replica.cpp
+++ b/review/standins/replica.cpp
@@ -49,6 +49,17 @@
         return;
     }
     m_record.onRun(id, m_id);
+    if (request.body == kCrashingBody && m_onCrash) {
+        auto timer = std::make_shared<boost::asio::steady_timer>(
+            m_loop, std::chrono::microseconds(crashTime.count()));
+        timer->async_wait([this, timer](const boost::system::error_code &) {
+            if (m_hasEnded)
+                return;
+            end();
+            m_onCrash();
+        });
+        return;
+    }
     auto timer = std::make_shared<boost::asio::steady_timer>(
         m_loop, std::chrono::microseconds(workTime.count()));
     timer->async_wait([this, timer, id, words,
--- a/review/standins/replica.h
+++ b/review/standins/replica.h
@@ -2,7 +2,7 @@
 // has it.
 #pragma once
 
-#include <map>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -26,8 +26,13 @@
     void leave() { m_isLeaving = true; }
     /// Its process ends, with the requests that it still runs.
     void end();
+    /// A request with this body ends the process that begins to run it; `onCrash` follows.
+    static constexpr const char *kCrashingBody = "crash";
+    void onCrash(std::function<void()> handler) { m_onCrash = std::move(handler); }
     bool hasEnded() const { return m_hasEnded; }
 
+    /// From the start of a crashing request's run to the end of the process.
+    Duration crashTime = milliseconds(0);
     Duration workTime = milliseconds(60);
 
 private:
@@ -42,6 +47,7 @@
     loopback::ScriptedServer m_server;
     std::uint64_t m_startedAtMs;
     int m_sequence = 0;
+    std::function<void()> m_onCrash;
     bool m_isLeaving = false;
     bool m_hasEnded = false;
 };
