--- a/review/standins/casecancelledcrash.cpp
+++ b/review/standins/casecancelledcrash.cpp
@@ -12,8 +12,8 @@
 constexpr Duration kCrashTime = milliseconds(150); ///< Of a replica, from the start of the run.
 constexpr Duration kLeaves = milliseconds(75);     ///< Half of the route's objective.
 constexpr Duration kWaits = milliseconds(4000);    ///< Without the disruption.
-constexpr Duration kPause = milliseconds(2000);    ///< Between two sendings of the request.
-constexpr int kSendings = 16;
+constexpr Duration kPause = milliseconds(300);     ///< Between two sendings of the request.
+constexpr int kSendings = 18;                      ///< Within the 5.5 s of give_up.
 
 } // namespace
 
@@ -26,7 +26,7 @@
     Fleet fleet(argumentCount, arguments, 3);
     CrashingRequest request(fleet, kCrashTime);
     fleet.publishConfig("non_idempotent", 2500);
-    for (int count = 0; count < 6; ++count)
+    for (int count = 0; count < 18; ++count)
         request.startReplica();
     fleet.startRouters();
     fleet.run(milliseconds(4000), 0);
@@ -39,5 +39,6 @@
         request.send(Fleet::hasTrouble() ? kLeaves : kWaits);
         fleet.run(kPause, kPerSecond);
     }
+    fleet.run(milliseconds(1000), kPerSecond);
     return request.isRuleBroken() ? 1 : 0;
 }
--- a/review/standins/caselostremoval.cpp
+++ b/review/standins/caselostremoval.cpp
@@ -1,5 +1,6 @@
-// A replica leaves the list without a word, and the platform deletes the topic's records before the
-// reading router's next read. The replica is the one that was listed last ("newest"), or another.
+// Replicas are taken away (scale_in). The last of them leaves the list without a word, and the
+// platform deletes the topic's records before the reading router's next read. It is the one whose
+// entry is the newest of those that are left ("newest"), or an older one.
 #include <iostream>
 
 #include "drainjudge.h"
@@ -7,6 +8,12 @@
 using namespace comfrey;
 using namespace comfrey::review;
 
+namespace {
+
+constexpr std::size_t kReplicas = 16; ///< Four of them leave: the share 0.25 of scale_in.
+
+} // namespace
+
 int main(int argumentCount, char **arguments)
 {
     if (argumentCount < 5) {
@@ -18,8 +25,8 @@
     Fleet fleet(argumentCount, arguments, 3);
     Record &record = fleet.record();
     fleet.publishConfig("non_idempotent", 2500);
-    for (const char *zone : {"zone-a", "zone-b", "zone-c", "zone-a"})
-        fleet.startReplica(zone);
+    for (std::size_t count = 0; count < kReplicas; ++count)
+        fleet.startReplica(std::string("zone-") + static_cast<char>('a' + count % 3));
     fleet.startRouters();
     fleet.run(milliseconds(4000), 0);
     fleet.run(milliseconds(6000), kPerSecond);
@@ -28,14 +35,20 @@
         return 2;
     }
 
-    // A release: new replicas start, then an old one leaves.
-    fleet.startReplica("zone-b");
+    // The newest replicas are taken away first. Those of "older" say that they leave.
+    const auto takeAway = [&](Replica &replica) {
+        if (isNewest)
+            fleet.removeEntry(replica, milliseconds(12000));
+        else
+            fleet.drain(replica, milliseconds(4000));
+    };
+    takeAway(fleet.replica(kReplicas - 1));
     fleet.run(milliseconds(450), kPerSecond);
-    fleet.startReplica("zone-c");
+    takeAway(fleet.replica(kReplicas - 2));
     fleet.run(milliseconds(3), kPerSecond);
-    Replica &last = fleet.startReplica("zone-a");
+    takeAway(fleet.replica(kReplicas - 3));
     fleet.run(milliseconds(15), kPerSecond);
-    Replica &leaving = isNewest ? last : fleet.replica(1);
+    Replica &leaving = fleet.replica(isNewest ? kReplicas - 4 : 1);
     const std::int64_t ackedAt = record.nowMs();
     fleet.removeEntry(leaving, milliseconds(12000));
     fleet.run(milliseconds(40), kPerSecond);
--- a/review/standins/caserestartedreader.cpp
+++ b/review/standins/caserestartedreader.cpp
@@ -1,5 +1,6 @@
 // The router that reads the store is stopped and started again, as planned. Meanwhile the other
-// router is partitioned from the store, and a replica leaves the list without a word.
+// router is partitioned from the store, and two replicas are
+// replaced (release), one of which leaves the list without a word.
 #include <signal.h>
 
 #include <iostream>
@@ -25,7 +26,7 @@
     Fleet fleet(argumentCount, arguments, 2);
     Record &record = fleet.record();
     fleet.publishConfig("non_idempotent", 2500);
-    for (const char *zone : {"zone-a", "zone-b", "zone-c", "zone-a"})
+    for (const char *zone : {"zone-a", "zone-b", "zone-c", "zone-a", "zone-b", "zone-c"})
         fleet.startReplica(zone);
     fleet.startRouters();
     fleet.run(milliseconds(4000), 0);
@@ -57,12 +58,17 @@
     reading.router->signal(SIGTERM);
     reading.takesRequests = false;
     record.note(reading.router->name() + " gets SIGTERM");
-    fleet.run(milliseconds(1000), kPerSecond);
+    // A release: each new replica starts before the old one leaves, one a second.
+    fleet.run(milliseconds(300), kPerSecond);
+    fleet.startReplica("zone-b");
+    fleet.run(milliseconds(300), kPerSecond);
     Replica &leaving = fleet.replica(1);
     const std::int64_t ackedAt = record.nowMs();
     fleet.removeEntry(leaving, kServesOn);
-    fleet.run(milliseconds(200), kPerSecond);
-    fleet.startReplica("zone-b"); // It takes the place of the one that left.
+    fleet.run(milliseconds(700), kPerSecond);
+    fleet.startReplica("zone-c");
+    fleet.run(milliseconds(300), kPerSecond);
+    fleet.drain(fleet.replica(2), milliseconds(4000));
     for (int step = 0; step < 80 && !reading.router->hasEnded(); ++step)
         fleet.run(milliseconds(100), kPerSecond);
     if (!reading.router->hasEnded()) {
--- a/review/standins/fleet.cpp
+++ b/review/standins/fleet.cpp
@@ -1,6 +1,10 @@
 // The steps that the cases share.
 #include "fleet.h"
 
+#include <signal.h>
+#include <sys/prctl.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <cstdlib>
 #include <iostream>
@@ -68,6 +72,11 @@
       m_program(argumentCount > 1 ? arguments[1] : ""),
       m_folder(argumentCount > 3 ? arguments[3] : "."), m_store(m_loop)
 {
+    constexpr unsigned kLongestSeconds = 110;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL); // The routers end with this process in turn.
+    ::alarm(kLongestSeconds);
+    if (!m_record.isWritable())
+        throw std::runtime_error("record.txt cannot be written");
     for (std::size_t index = 0; index < routers; ++index) {
         auto member = std::make_unique<Member>();
         member->storePath = std::make_unique<soak::FaultyPath>(m_loop, m_store.address());
@@ -130,6 +139,17 @@
     later(servesOn, [&replica] { replica.end(); });
 }
 
+void Fleet::drain(Replica &replica, Duration servesOn)
+{
+    m_store.append(kServers, replica.id(), replica.entry("draining"));
+    replica.leave();
+    m_record.note("replica " + replica.id() + " is listed as draining");
+    later(servesOn, [this, &replica] {
+        m_store.append(kServers, replica.id(), "");
+        replica.end();
+    });
+}
+
 void Fleet::later(Duration after, std::function<void()> action)
 {
     m_later.emplace_back(now() + after, std::move(action));
--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -45,6 +45,9 @@
     /// The entry of a replica goes without a word: it serves for a while, then it exits.
     void removeEntry(Replica &replica, Duration servesOn);
 
+    /// A replica reports `draining`, and leaves after `servesOn`.
+    void drain(Replica &replica, Duration servesOn);
+
     /// Runs the loop; meanwhile requesters send `perSecond` requests a second, in turn to each
     /// router that takes requests.
     void run(Duration time, int perSecond);
--- a/review/standins/fleetclock.h
+++ b/review/standins/fleetclock.h
@@ -32,6 +32,7 @@
 {
 public:
     explicit Record(const std::string &path);
+    bool isWritable() const { return m_file.good(); }
     std::int64_t nowMs() const;
     /// A line of what happened.
     void note(const std::string &text);
