Requests of routes and organisations stay in their allowed regions

Cause: allowed_regions of the platform's configuration was read nowhere; a request whose route or organisation names regions was sent to any server. Change: AllowedRegions (src/dispatch) is the intersection of both lists, kept with the admitted request; it removes servers outside before any other rule, also for retries, resumption, the source of a copied prompt and leases of a shared queue. Without a server there the request is refused at once. A list that cannot be read makes the configuration unreadable.

--- a/include/comfrey/ids.h
+++ b/include/comfrey/ids.h
@@ -51,6 +51,7 @@
 using RouterId = Name<struct RouterIdTag>;
 using BackendId = Name<struct BackendIdTag>; ///< A model engine or a replica of a plain service.
 using ZoneId = Name<struct ZoneIdTag>;       ///< Availability zone.
+using RegionId = Name<struct RegionIdTag>;   ///< Holds one or more availability zones.
 using CustomerId = Name<struct CustomerIdTag>;
 using PlanId = Name<struct PlanIdTag>;
 using ModelId = Name<struct ModelIdTag>;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -66,6 +66,10 @@
             return admission;
         }
     }
+    static const std::vector<RegionId> everyRegion;
+    admission.regions = {admission.route->allowedRegions,
+                         admission.organisation ? admission.organisation->allowedRegions
+                                                : everyRegion};
     admission.service = chooseTarget(*admission.route, affinityKey(request));
     service(admission.service).retries.onRequest(now);
     return admission;
@@ -89,7 +93,8 @@
 }
 
 Choice Dispatcher::choose(const RequestFacts &request, const ServiceName &serviceName,
-                          const std::vector<std::string> &tried, TimePoint now)
+                          const std::vector<std::string> &tried, TimePoint now,
+                          const AllowedRegions &regions)
 {
     ChoiceInput input;
     input.replicas = m_replicas.serving(serviceName);
@@ -98,6 +103,8 @@
     std::erase_if(input.replicas, [&](const auto &replica) {
         return std::find(tried.begin(), tried.end(), replica->incarnation) != tried.end();
     });
+    const auto outside = static_cast<std::uint32_t>(std::erase_if(
+        input.replicas, [&](const auto &replica) { return !isIn(regions, *replica); }));
     const auto paused = static_cast<std::uint32_t>(std::erase_if(
         input.replicas, [now](const auto &replica) { return now < replica->pausedUntil; }));
     const std::uint32_t cold = excludeColdServers(serviceName, input.replicas, now);
@@ -108,9 +115,20 @@
                                            : chooseForPrompt(request, input, now);
     choice.pausedExcluded = paused;
     choice.coldExcluded = cold;
+    choice.regionExcluded = outside;
+    // A copied prompt travels to the chosen server, so its source is bound as well.
+    if (choice.promptSource && !isIn(regions, *choice.promptSource))
+        choice.promptSource = nullptr;
     return choice;
 }
 
+bool Dispatcher::hasServerIn(const ServiceName &serviceName, const AllowedRegions &regions) const
+{
+    const auto servers = m_replicas.serving(serviceName);
+    return std::any_of(servers.begin(), servers.end(),
+                       [&](const auto &replica) { return isIn(regions, *replica); });
+}
+
 std::uint32_t Dispatcher::excludeColdServers(const ServiceName &serviceName,
                                              std::vector<std::shared_ptr<Replica>> &list,
                                              TimePoint now)
@@ -148,11 +166,12 @@
 }
 
 std::shared_ptr<Replica> Dispatcher::leasedReplica(const ServiceName &service,
-                                                   std::uint32_t incarnationHash,
-                                                   TimePoint now) const
+                                                   std::uint32_t incarnationHash, TimePoint now,
+                                                   const AllowedRegions &regions) const
 {
     auto replica = m_replicas.servingWithHash(service, incarnationHash);
-    return replica && now >= replica->pausedUntil ? replica : nullptr;
+    const bool isUsable = replica && now >= replica->pausedUntil && isIn(regions, *replica);
+    return isUsable ? replica : nullptr;
 }
 
 std::optional<Duration> Dispatcher::remainingPauseOfAll(const ServiceName &service,
@@ -170,13 +189,15 @@
 
 std::vector<std::uint32_t> Dispatcher::excludedServers(const ServiceName &service,
                                                        const std::vector<std::string> &tried,
-                                                       TimePoint now) const
+                                                       TimePoint now,
+                                                       const AllowedRegions &regions) const
 {
     std::vector<std::uint32_t> excluded;
     std::vector<std::uint32_t> unhealthy;
     const auto replicas = m_replicas.alive(service);
     for (const auto &replica : replicas) {
         if (!m_replicas.takesWork(*replica) || now < replica->pausedUntil
+            || !isIn(regions, *replica)
             || std::find(tried.begin(), tried.end(), replica->incarnation) != tried.end())
             excluded.push_back(replica->incarnationHash);
         else if (replica->health.shouldAvoid(smoothedWait(service), now))
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "dispatch/allowedregions.h"
 #include "dispatch/crashguard.h"
 #include "dispatch/replicachooser.h"
 #include "dispatch/replicatable.h"
@@ -44,6 +45,7 @@
     const Route *route = nullptr;
     const Organisation *organisation = nullptr; ///< Null if the route needs no API key.
     ServiceName service;
+    AllowedRegions regions; ///< Of the servers that the request may be sent to.
 };
 
 /// How one attempt ended, as far as retries are concerned.
@@ -61,6 +63,7 @@
     Duration relistTimeout = milliseconds(1700); ///< See the constructor of ReplicaTable.
     std::string router;                          ///< Name of this router.
     std::uint64_t seed = 0;                      ///< Seed of the generator that breaks ties.
+    ZoneRegions zoneRegions;                     ///< The region of each zone with servers.
 };
 
 /// Combines the routes, the backend servers, the retry budgets and the replica choosers of a
@@ -80,23 +83,27 @@
     /// Checks the route, the API key and the quarantine of a request and picks its service. An
     /// admitted request adds to the retry budget of the service.
     Admission admit(const RequestFacts &request, TimePoint now);
-    /// Chooses a server for the request, except the incarnations in `tried`. The replica is null if
-    /// no server is left.
+    /// Chooses a server in `regions` for the request, except the incarnations in `tried`. The
+    /// replica is null if no server is left.
     Choice choose(const RequestFacts &request, const ServiceName &service,
-                  const std::vector<std::string> &tried, TimePoint now);
-    /// The server for which the shared queue granted a lease; null if it accepts no new work or has
-    /// asked this router for a pause.
+                  const std::vector<std::string> &tried, TimePoint now,
+                  const AllowedRegions &regions = {});
+    /// True if a server of the service accepts new work in `regions`.
+    bool hasServerIn(const ServiceName &service, const AllowedRegions &regions) const;
+    /// The server for which the shared queue granted a lease; null if it accepts no new work, has
+    /// asked this router for a pause, or lies outside `regions`.
     std::shared_ptr<Replica> leasedReplica(const ServiceName &service,
-                                           std::uint32_t incarnationHash, TimePoint now) const;
+                                           std::uint32_t incarnationHash, TimePoint now,
+                                           const AllowedRegions &regions = {}) const;
     /// Time until the first pause ends if every available server of the service has asked for a
     /// pause; nothing otherwise.
     std::optional<Duration> remainingPauseOfAll(const ServiceName &service, TimePoint now) const;
     /// Incarnation hashes of the servers of the service that the next attempt must avoid: those in
-    /// `tried`, those that are leaving or paused, and unhealthy ones as long as a healthy server
-    /// remains.
+    /// `tried`, those that are leaving or paused or outside `regions`, and unhealthy ones as long
+    /// as a healthy server remains.
     std::vector<std::uint32_t> excludedServers(const ServiceName &service,
-                                               const std::vector<std::string> &tried,
-                                               TimePoint now) const;
+                                               const std::vector<std::string> &tried, TimePoint now,
+                                               const AllowedRegions &regions = {}) const;
     /// Returns true if the request may be sent to another server: the number of `attempts` is below
     /// its maximum, and an attempt that the server may have run can be repeated on this route after
     /// `possibleRuns` runs. Consumes the retry budget, except when the last attempt was not sent.
@@ -163,6 +170,10 @@
     };
 
     Service &service(const ServiceName &name);
+    bool isIn(const AllowedRegions &regions, const Replica &replica) const
+    {
+        return regions.allows(replica.record.zone, m_settings.zoneRegions);
+    }
     /// Mean failure share of the service's available servers other than `except`; 1 if there are
     /// none, so that the only server of a service is never ejected.
     double meanFailureShare(const Replica &except) const;
--- a/src/dispatch/fleetconfig.h
+++ b/src/dispatch/fleetconfig.h
@@ -43,6 +43,7 @@
         1;                  ///< Maximum number of backend servers that one request may run on.
     bool isPublic = false;  ///< Requests need no API key.
     bool canResume = false; ///< A stream can continue at another server after its last event.
+    std::vector<RegionId> allowedRegions; ///< Regions that may handle requests; empty: all.
 
     /// True if a request may be retried after it may have run.
     bool mayRetry() const
@@ -74,6 +75,7 @@
     std::string name;
     std::vector<std::string> apiKeys;
     std::optional<std::uint32_t> priority; ///< Overrides the priority of the route.
+    std::vector<RegionId> allowedRegions;  ///< Regions that may handle requests; empty: all.
 };
 
 /// Limits on the size and the duration of a caller's request.
--- a/src/dispatch/replicachooser.h
+++ b/src/dispatch/replicachooser.h
@@ -35,6 +35,7 @@
     double promptRequests = 0; ///< Concurrent requests of the fleet for the prompt, as known here.
     std::uint32_t coldExcluded = 0;   ///< Number of servers excluded because they are cold.
     std::uint32_t pausedExcluded = 0; ///< Number of servers excluded because they are paused.
+    std::uint32_t regionExcluded = 0; ///< Number of servers excluded by the allowed regions.
 };
 
 /// A policy that chooses a server among those of a service.
--- a/src/gateway/proxiedrequest.cpp
+++ b/src/gateway/proxiedrequest.cpp
@@ -157,6 +157,13 @@
 void ProxiedRequest::startAttempt()
 {
     const TimePoint now = m_gateway.now();
+    if (m_admission.regions.isLimited()
+        && !dispatcher().hasServerIn(m_admission.service, m_admission.regions)) {
+        m_gateway.dependencies().metrics.count("comfrey_requests_without_region_total",
+                                               "service=\"" + m_admission.service.value() + "\"");
+        giveUp(AttemptResult::NotSent, "no backend server in the allowed regions takes work");
+        return;
+    }
     if (const auto pause = dispatcher().remainingPauseOfAll(m_admission.service, now)) {
         refuseForPause(*pause, now);
         return;
@@ -166,7 +173,8 @@
     if (leaseSource && isPlain && leaseSource->isShared(m_admission.service, now))
         requestLease(now);
     else
-        sendToChoice(dispatcher().choose(m_facts, m_admission.service, m_triedIncarnations, now),
+        sendToChoice(dispatcher().choose(m_facts, m_admission.service, m_triedIncarnations, now,
+                                         m_admission.regions),
                      now);
 }
 
@@ -181,7 +189,8 @@
         organisation ? organisation->priority.value_or(route.priority) : route.priority;
     request.onTimeWithin = std::max(Duration(0), m_arrivedAt + route.objective - now);
     request.answerWithin = std::max(Duration(0), m_deadline - now);
-    request.excluded = dispatcher().excludedServers(m_admission.service, m_triedIncarnations, now);
+    request.excluded = dispatcher().excludedServers(m_admission.service, m_triedIncarnations, now,
+                                                    m_admission.regions);
     m_gateway.dependencies().leaseSource->requestLease(
         request, now, [this, self = shared_from_this(), now](const LeaseReply &reply) {
             onLeaseReply(reply, now);
@@ -208,12 +217,13 @@
     }
     Choice choice;
     choice.replica = reply.verdict == LeaseReply::Verdict::Granted
-        ? dispatcher().leasedReplica(m_admission.service, reply.server, now)
+        ? dispatcher().leasedReplica(m_admission.service, reply.server, now, m_admission.regions)
         : nullptr;
     if (!choice.replica) {
         // No queue owner is known, or its server list is older than this router's.
         leaseSource.releaseLease(reply.lease, LeaseOutcome::Unused, now);
-        sendToChoice(dispatcher().choose(m_facts, m_admission.service, m_triedIncarnations, now),
+        sendToChoice(dispatcher().choose(m_facts, m_admission.service, m_triedIncarnations, now,
+                                         m_admission.regions),
                      now);
         return;
     }
@@ -275,6 +285,7 @@
         .add("prompt_requests", static_cast<std::int64_t>(choice.promptRequests))
         .add("paused", static_cast<std::int64_t>(choice.pausedExcluded))
         .add("cold", static_cast<std::int64_t>(choice.coldExcluded))
+        .add("outside", static_cast<std::int64_t>(choice.regionExcluded))
         .add("left", context.timeLeft)
         .add("prompt_from",
              choice.promptSource ? std::string_view(choice.promptSource->record.id.value())
--- a/tests/traffic/parsingtest.cpp
+++ b/tests/traffic/parsingtest.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(replicaRecordWithInvalidMemberIsRejected);
     CPPUNIT_TEST(replicaRecordIsDecoded);
     CPPUNIT_TEST(configIsDecoded);
+    CPPUNIT_TEST(allowedRegionsOfRoutesAndOrganisationsAreDecoded);
+    CPPUNIT_TEST(configWithUnreadableRegionsIsRejected);
     CPPUNIT_TEST(configWithoutRequiredMemberIsRejected);
     CPPUNIT_TEST(evacuatedZoneIsReadFromKey);
     CPPUNIT_TEST(requestFactsAreReadFromHeaders);
@@ -163,6 +165,30 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), *config->organisations[0].priority);
     }
 
+    void allowedRegionsOfRoutesAndOrganisationsAreDecoded()
+    {
+        const auto config = platform::decodeConfig(
+            R"({"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/","kind":"idempotent","timeout_ms":1,"service":"a",
+                "allowed_regions":["north","south"]}],"tenants":[{"name":"t","api_keys":["k"],"allowed_regions":["south"]},
+                {"name":"u","allowed_regions":null}]})");
+        CPPUNIT_ASSERT(config);
+        CPPUNIT_ASSERT(config->routes[0].allowedRegions
+                       == std::vector<RegionId>({RegionId("north"), RegionId("south")}));
+        CPPUNIT_ASSERT(config->organisations[0].allowedRegions
+                       == std::vector<RegionId>({RegionId("south")}));
+        CPPUNIT_ASSERT(config->organisations[1].allowedRegions.empty());
+    }
+
+    /// A limit that cannot be read must not be lifted.
+    void configWithUnreadableRegionsIsRejected()
+    {
+        for (const char *regions : {R"("north")", "[1]", R"([""])", R"(["north",null])", "{}"}) {
+            const std::string text = R"({"version":1,"tenants":[{"name":"t","allowed_regions":)"
+                + std::string(regions) + "}]}";
+            CPPUNIT_ASSERT_MESSAGE(regions, !platform::decodeConfig(text));
+        }
+    }
+
     void configWithoutRequiredMemberIsRejected()
     {
         CPPUNIT_ASSERT(!platform::decodeConfig("{}"));
