--- a/tools/comfreyctl/commands.h
+++ b/tools/comfreyctl/commands.h
@@ -20,9 +20,13 @@
     std::string author;
     std::chrono::milliseconds timeout = std::chrono::seconds(10);
     std::uint32_t partitions = 0; ///< Streams of claims.
+    std::string inForceFile;      ///< check: compared with instead of the platform's version.
 };
 
 ExitCode validateFiles(const Options &options);
+/// Prints the faults of lists or of a configuration of the platform's operator, and the differences
+/// from the version in force if the options name one.
+ExitCode checkConfiguration(const Options &options);
 ExitCode showDifference(const Options &options);
 ExitCode publishChange(const Options &options);
 ExitCode showLists(const Options &options);
--- a/tools/comfreyctl/main.cpp
+++ b/tools/comfreyctl/main.cpp
@@ -24,8 +24,9 @@
 
 constexpr std::size_t kManyFiles = 1000;
 
-constexpr std::array<Command, 8> kCommands = {{
+constexpr std::array<Command, 9> kCommands = {{
     {"validate", comfrey::ctl::validateFiles, 1, kManyFiles, false},
+    {"check", comfrey::ctl::checkConfiguration, 1, kManyFiles, false},
     {"diff", comfrey::ctl::showDifference, 1, kManyFiles, true},
     {"publish", comfrey::ctl::publishChange, 1, kManyFiles, true},
     {"show", comfrey::ctl::showLists, 0, 0, true},
@@ -38,6 +39,7 @@
 constexpr const char *kAbout =
     "Operators' client of comfreylanding.\n"
     "  validate FILE...      check lists without any other process\n"
+    "  check FILE...         faults, entries that never match, contradictions, differences\n"
     "  diff FILE...          what publishing the files would change\n"
     "  publish FILE...       make the files' lists the lists in force\n"
     "  show                  the lists in force, as a file to edit\n"
@@ -71,6 +73,8 @@
     TCLAP::ValueArg<int> partitions(
         "", "partitions", "claim: outcome.partitions of the routers", false,
         static_cast<int>(comfrey::settings::OutcomeT().partitions), "COUNT", line);
+    TCLAP::ValueArg<std::string> inForce(
+        "", "in-force", "check: a file that holds the version in force", false, "", "FILE", line);
     TCLAP::UnlabeledMultiArg<std::string> words("command", "Command and its arguments", true,
                                                 "COMMAND [ARGUMENT...]", line);
     line.parse(argc, argv);
@@ -83,6 +87,7 @@
     options.wait = wait.getValue();
     options.changeId = changeId.getValue();
     options.author = author.getValue();
+    options.inForceFile = inForce.getValue();
     options.timeout = std::chrono::milliseconds(timeout.getValue());
     options.partitions = static_cast<std::uint32_t>(partitions.getValue());
     if (timeout.getValue() <= 0 || partitions.getValue() <= 0)
