Small services: what can't be served is refused as it arrives

Cause: ServiceQueue kept late requests, up to a second of work, and dropped each when its own time was nearly over; a caller with a time limit of 1 s heard 503 after 0.8 s and more. Change: a request's place in the order and the measured drain rate tell when it will be its turn. It is refused in the decision after its arrival, or when a more urgent one displaces it within 80 ms; after that it is kept, and served before its time ends. Late requests wait as far as the arrivals leave room within the request's own time. A caller's next attempt is recognised by fingerprint and shrunken time (bounded memory), keeps the aim of its first attempt, and comes before late newcomers of its kind if it came when it was told to. PlaceAsk carries fingerprint, caller_ms, waited_ms and is_retry. Tests (without a network; callers that come back once, 75 and 142 routers, 2 to 3 times the usual, one of three servers down, one organisation at 7.5 times): refusalsInAnOverloadAreSaidAtOnce.

--- a/src/dispatch/servicequeue.cpp
+++ b/src/dispatch/servicequeue.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace comfrey {
 
@@ -26,16 +27,37 @@
 /// Remaining time that a request needs, as a multiple of the mean lease time: slow servers take
 /// longer than the mean.
 constexpr double kMinTimeFactor = 2;
-/// Maximum work queued for requests that cannot be on time any more: a lull between two bursts is
-/// long enough to work it off.
-constexpr Duration kMaxLateBacklog = milliseconds(1000);
+/// A kept request goes first when no more than this is left before its last possible grant.
+constexpr Duration kDueMargin = milliseconds(100);
+/// Applied to the drain rate when requests are refused: one kept wrongly is answered a little late,
+/// one refused wrongly is not answered.
+constexpr double kDrainOptimism = 1.2;
 constexpr Duration kMinRetryAfter = milliseconds(800);
 constexpr Duration kMaxRetryAfter = milliseconds(3000);
+/// Callers refused at the same time are spread over this share of their Retry-After.
+constexpr double kRetrySpread = 0.25;
+/// Part of its remaining time for which a caller waits at most before it comes back.
+constexpr int kCallerWaitPart = 3;
+constexpr Duration kReturnTolerance = milliseconds(20); ///< Rounding on the way to the caller.
+
+Duration toDuration(double microseconds)
+{
+    return Duration(static_cast<std::int64_t>(microseconds));
+}
+
+/// Time in which `requests` are worked off at the rate; the longest duration that counts if never.
+Duration timeFor(std::size_t requests, double perSecond)
+{
+    constexpr double kLongestUs = 60e6;
+    const double us = static_cast<double>(requests) * 1e6 / std::max(perSecond, 1e-3);
+    return toDuration(std::min(us, kLongestUs));
+}
 
 } // namespace
 
 void ServiceQueue::setServers(const std::vector<QueueServer> &servers)
 {
+    const std::uint32_t slotsBefore = totalSlots();
     std::map<std::uint32_t, Server> present;
     for (const QueueServer &server : servers) {
         const auto known = m_servers.find(server.incarnationHash);
@@ -46,7 +68,13 @@
             entry.leases = leaseCountAt(server.incarnationHash);
         entry.slots = std::max(1U, server.slots);
     }
+    const bool hadServers = hasServers();
     m_servers = std::move(present);
+    const std::uint32_t slots = totalSlots();
+    if (hadServers && slots != slotsBefore) {
+        m_drainRate.scale(static_cast<double>(slots) / slotsBefore);
+        m_needsPlan = true;
+    }
 }
 
 std::uint32_t ServiceQueue::leaseCountAt(std::uint32_t server) const
@@ -58,9 +86,10 @@
 
 bool ServiceQueue::withdraw(std::uint64_t requestId)
 {
-    return std::erase_if(
-               m_waiting,
-               [requestId](const LeaseRequest &request) { return request.id == requestId; })
+    return std::erase_if(m_waiting,
+                         [requestId](const WaitingRequest &waiting) {
+                             return waiting.request.id == requestId;
+                         })
         > 0;
 }
 
@@ -71,6 +100,7 @@
         return;
     const GrantedLease lease = found->second;
     m_leases.erase(found);
+    m_drainRate.advance(1, !m_waiting.empty(), now);
     const auto entry = m_servers.find(lease.server);
     if (entry == m_servers.end())
         return;
@@ -96,7 +126,7 @@
     }
 }
 
-double ServiceQueue::meanLeaseTimeUs() const
+Duration ServiceQueue::meanLeaseTime() const
 {
     double total = 0;
     std::size_t count = 0;
@@ -106,7 +136,12 @@
             ++count;
         }
     }
-    return count == 0 ? kDefaultLeaseTimeUs : total / static_cast<double>(count);
+    return toDuration(count == 0 ? kDefaultLeaseTimeUs : total / static_cast<double>(count));
+}
+
+Duration ServiceQueue::minAnswerTime() const
+{
+    return toDuration(kMinTimeFactor * static_cast<double>(meanLeaseTime().count()));
 }
 
 std::uint32_t ServiceQueue::totalSlots() const
@@ -119,19 +154,7 @@
 
 bool ServiceQueue::isOnTime(const LeaseRequest &request, TimePoint now) const
 {
-    return now + Duration(static_cast<std::int64_t>(meanLeaseTimeUs())) <= request.onTimeDeadline;
-}
-
-std::size_t ServiceQueue::maxLateWaiting() const
-{
-    const double rounds = static_cast<double>(kMaxLateBacklog.count()) / meanLeaseTimeUs();
-    return static_cast<std::size_t>(rounds * totalSlots());
-}
-
-Duration ServiceQueue::drainTime() const
-{
-    const double rounds = static_cast<double>(m_waiting.size()) / totalSlots();
-    return Duration(static_cast<std::int64_t>(rounds * meanLeaseTimeUs()));
+    return now + meanLeaseTime() <= request.onTimeDeadline;
 }
 
 void ServiceQueue::dropExpiredLeases(TimePoint now)
@@ -148,22 +171,93 @@
     }
 }
 
-void ServiceQueue::refuseUnservable(TimePoint now, std::vector<LeaseDecision> &decisions)
+void ServiceQueue::refuseExpired(TimePoint now, std::vector<LeaseDecision> &decisions)
 {
-    const Duration needed(static_cast<std::int64_t>(kMinTimeFactor * meanLeaseTimeUs()));
-    const Duration retry = std::clamp(drainTime(), kMinRetryAfter, kMaxRetryAfter);
-    std::size_t late = 0;
-    const std::size_t maxLate = maxLateWaiting();
-    std::erase_if(m_waiting, [&](const LeaseRequest &request) {
-        // Of the requests that cannot be on time any more, the oldest ones wait for a lull.
-        const bool fits = isOnTime(request, now) || late++ < maxLate;
-        if (fits && now + needed <= request.answerDeadline)
+    const Duration needed = minAnswerTime();
+    const Duration drainTime = timeFor(m_waiting.size(), drainRate());
+    std::erase_if(m_waiting, [&](const WaitingRequest &waiting) {
+        if (now + needed <= waiting.request.answerDeadline)
             return false;
-        decisions.push_back({request.id, 0, 0, retry});
+        decisions.push_back(refuse(waiting, drainTime, now));
         return true;
     });
 }
 
+double ServiceQueue::drainRate() const
+{
+    return m_drainRate.perSecond(totalSlots() * 1e6 / static_cast<double>(meanLeaseTime().count()));
+}
+
+void ServiceQueue::refuseUnservable(TimePoint now, std::vector<LeaseDecision> &decisions)
+{
+    if (!std::exchange(m_needsPlan, false))
+        return;
+    std::vector<std::pair<Place, WaitingRequests::iterator>> order;
+    for (auto waiting = m_waiting.begin(); waiting != m_waiting.end(); ++waiting)
+        order.emplace_back(placeOf(*waiting, now), waiting);
+    const auto byPlace = [](const auto &left, const auto &right) {
+        return left.first < right.first;
+    };
+    std::stable_sort(order.begin(), order.end(), byPlace);
+
+    const double rate = kDrainOptimism * drainRate();
+    const Duration leaseTime = meanLeaseTime();
+    std::size_t before = 0; ///< Requests that are served first.
+    std::vector<std::pair<Place, WaitingRequests::iterator>> late;
+    for (auto &[place, waiting] : order) {
+        const TimePoint grantedAt = now + timeFor(before + 1, rate);
+        if (place.timeClass == Place::Class::OnTime
+            && grantedAt + leaseTime > waiting->request.onTimeDeadline)
+            place.timeClass = Place::Class::Late;
+        if (place.timeClass == Place::Class::Late) {
+            late.emplace_back(place, waiting);
+            continue;
+        }
+        waiting->isPlanned = true;
+        ++before;
+    }
+    std::stable_sort(late.begin(), late.end(), byPlace);
+
+    // Late requests get what the requests to come leave.
+    const double spareRate = rate - m_firstAttempts.perSecond(now);
+    const Duration needed = minAnswerTime();
+    const Duration drainTime = timeFor(before, rate);
+    for (const auto &[place, waiting] : late) {
+        if (isKept(*waiting, now)
+            || now + timeFor(before + 1, spareRate) + needed <= waiting->request.answerDeadline) {
+            waiting->isPlanned = true;
+            ++before;
+            continue;
+        }
+        decisions.push_back(refuse(*waiting, drainTime, now));
+        m_waiting.erase(waiting);
+    }
+}
+
+LeaseDecision ServiceQueue::refuse(const WaitingRequest &waiting, Duration drainTime, TimePoint now)
+{
+    if (!waiting.isPlanned)
+        ++m_counts.refusedAtOnce;
+    else if (isKept(waiting, now))
+        ++m_counts.refusedLate;
+    else
+        ++m_counts.displaced;
+    const LeaseRequest &request = waiting.request;
+    const Duration base = std::clamp(drainTime, kMinRetryAfter, kMaxRetryAfter);
+    const double spread = kRetrySpread * static_cast<double>(request.id % 16) / 16;
+    const Duration retryAfter = toDuration(static_cast<double>(base.count()) * (1 + spread));
+    if (request.fingerprint != 0 && request.callerTime > Duration(0)) {
+        const Duration callerLeft = waiting.callerDeadline - now;
+        RefusedAttempt refusal;
+        refusal.onTimeDeadline = request.onTimeDeadline;
+        refusal.callerTime = callerLeft;
+        refusal.refusedAt = now;
+        refusal.retryAt = now + std::min(retryAfter, callerLeft / kCallerWaitPart);
+        m_refusals.add(request.fingerprint, refusal);
+    }
+    return {request.id, 0, 0, retryAfter};
+}
+
 double ServiceQueue::grantedRatio(const std::string &organisation) const
 {
     const auto found = m_organisations.find(organisation);
@@ -192,24 +286,49 @@
 void ServiceQueue::enqueue(LeaseRequest request, TimePoint now)
 {
     decayCounts(now);
-    m_organisations[request.organisation].requested += 1;
-    m_waiting.push_back(std::move(request));
+    m_drainRate.advance(0, !m_waiting.empty(), now);
+    WaitingRequest waiting;
+    waiting.arrivedAt = now - request.waited;
+    waiting.callerDeadline = now + request.callerTime;
+    waiting.isPlanned = request.isRetry;
+    const auto refusal = request.fingerprint == 0
+        ? std::nullopt
+        : m_refusals.take(request.fingerprint, request.callerTime, now);
+    if (refusal) {
+        ++m_counts.cameBack;
+        waiting.isKeptReturn = now + kReturnTolerance >= refusal->retryAt;
+        m_counts.cameBackEarly += waiting.isKeptReturn ? 0 : 1;
+        request.onTimeDeadline = std::min(request.onTimeDeadline, refusal->onTimeDeadline);
+    } else {
+        m_firstAttempts.count(now);
+        m_organisations[request.organisation].requested += 1;
+    }
+    waiting.request = std::move(request);
+    m_waiting.push_back(std::move(waiting));
+    m_needsPlan = true;
 }
 
-// Requests that can still be on time come before late ones, because a late answer loses nothing by
-// a little more delay. Then follow the priority, the organisation with the fewest recent grants
-// relative to its usual load, and the order of arrival (nextRequest() keeps the first of equal
-// requests).
-bool ServiceQueue::comesBefore(const LeaseRequest &left, const LeaseRequest &right,
-                               TimePoint now) const
+bool ServiceQueue::isKept(const WaitingRequest &waiting, TimePoint now) const
 {
-    const bool leftOnTime = isOnTime(left, now);
-    const bool rightOnTime = isOnTime(right, now);
-    if (leftOnTime != rightOnTime)
-        return leftOnTime;
-    if (left.priority != right.priority)
-        return left.priority < right.priority;
-    return grantedRatio(left.organisation) < grantedRatio(right.organisation);
+    return waiting.isPlanned
+        && (waiting.request.isRetry || now >= waiting.arrivedAt + kDecisionTime);
+}
+
+ServiceQueue::Place ServiceQueue::placeOf(const WaitingRequest &waiting, TimePoint now) const
+{
+    const LeaseRequest &request = waiting.request;
+    const bool kept = isKept(waiting, now);
+    Place place;
+    if (kept && now + minAnswerTime() + kDueMargin >= request.answerDeadline)
+        place.timeClass = Place::Class::Due;
+    else if (isOnTime(request, now))
+        place.timeClass = Place::Class::OnTime;
+    else
+        place.timeClass = Place::Class::Late;
+    place.priority = request.priority;
+    place.rank = kept ? 0 : waiting.isKeptReturn ? 1 : 2;
+    place.grantedRatio = grantedRatio(request.organisation);
+    return place;
 }
 
 std::map<std::uint32_t, ServiceQueue::Server>::iterator
@@ -217,6 +336,7 @@
 {
     auto best = m_servers.end();
     double bestScore = std::numeric_limits<double>::max();
+    const auto meanTime = static_cast<double>(meanLeaseTime().count());
     for (auto server = m_servers.begin(); server != m_servers.end(); ++server) {
         const Server &entry = server->second;
         if (entry.leases >= entry.slots + kExtraLeases || now < entry.pausedUntil)
@@ -225,7 +345,7 @@
             != request.excluded.end())
             continue;
         const double filled = static_cast<double>(entry.leases + 1) / entry.slots;
-        const double time = entry.leaseTimeUs > 0 ? entry.leaseTimeUs : meanLeaseTimeUs();
+        const double time = entry.leaseTimeUs > 0 ? entry.leaseTimeUs : meanTime;
         const double score = time * (1 + filled) * (1 + kFailurePenalty * entry.failureRatio);
         if (score < bestScore) {
             bestScore = score;
@@ -238,31 +358,44 @@
 ServiceQueue::WaitingRequests::iterator ServiceQueue::nextRequest(TimePoint now)
 {
     auto best = m_waiting.end();
-    for (auto request = m_waiting.begin(); request != m_waiting.end(); ++request) {
-        if ((best == m_waiting.end() || comesBefore(*request, *best, now))
-            && bestServerFor(*request, now) != m_servers.end())
-            best = request;
+    Place bestPlace;
+    for (auto waiting = m_waiting.begin(); waiting != m_waiting.end(); ++waiting) {
+        const Place place = placeOf(*waiting, now);
+        if ((best == m_waiting.end() || place < bestPlace)
+            && bestServerFor(waiting->request, now) != m_servers.end()) {
+            best = waiting;
+            bestPlace = place;
+        }
     }
     return best;
 }
 
+void ServiceQueue::grantLeases(TimePoint now, std::vector<LeaseDecision> &decisions)
+{
+    while (true) {
+        const auto next = nextRequest(now);
+        if (next == m_waiting.end())
+            return;
+        const LeaseRequest &request = next->request;
+        const auto server = bestServerFor(request, now);
+        ++server->second.leases;
+        m_leases[++m_lastLeaseId] = {server->first, now, request.answerDeadline + kExpiryMargin};
+        m_organisations[request.organisation].granted += 1;
+        decisions.push_back({request.id, m_lastLeaseId, server->first, Duration(0)});
+        m_waiting.erase(next);
+    }
+}
+
 std::vector<LeaseDecision> ServiceQueue::decide(TimePoint now)
 {
     std::vector<LeaseDecision> decisions;
     decayCounts(now);
     dropExpiredLeases(now);
+    m_drainRate.advance(0, !m_waiting.empty(), now);
+    refuseExpired(now, decisions);
+    grantLeases(now, decisions);
     refuseUnservable(now, decisions);
-    while (true) {
-        const auto request = nextRequest(now);
-        if (request == m_waiting.end())
-            return decisions;
-        const auto server = bestServerFor(*request, now);
-        ++server->second.leases;
-        m_leases[++m_lastLeaseId] = {server->first, now, request->answerDeadline + kExpiryMargin};
-        m_organisations[request->organisation].granted += 1;
-        decisions.push_back({request->id, m_lastLeaseId, server->first, Duration(0)});
-        m_waiting.erase(request);
-    }
+    return decisions;
 }
 
 } // namespace comfrey
--- a/src/dispatch/servicequeue.h
+++ b/src/dispatch/servicequeue.h
@@ -17,6 +17,8 @@
 #include <vector>
 
 #include "comfrey/units.h"
+#include "dispatch/flowrate.h"
+#include "dispatch/refusalmemory.h"
 
 namespace comfrey {
 
@@ -29,6 +31,10 @@
     TimePoint onTimeDeadline;            ///< Answers until then are on time.
     TimePoint answerDeadline;            ///< The caller has left by then.
     std::vector<std::uint32_t> excluded; ///< Servers to avoid, by incarnation hash.
+    std::uint64_t fingerprint = 0;       ///< The same for equal requests of one caller; 0: unknown.
+    Duration callerTime{0};              ///< Time that the caller still waits; 0: unknown.
+    Duration waited{0};                  ///< Time since the request arrived at its router.
+    bool isRetry = false; ///< An earlier lease did not lead to an answer: it stays kept.
 };
 
 /// Grant or refusal of a lease.
@@ -57,7 +63,9 @@
 };
 
 /// Grants leases for the servers of one service to waiting requests, and refuses requests that
-/// cannot be answered before their caller leaves. Not thread-safe; the time is an argument of each
+/// cannot be answered before their caller leaves. A request is refused when it arrives, or when a
+/// more urgent one displaces it soon after; one that has waited for kDecisionTime is kept, and
+/// served before the time that it has ends. Not thread-safe; the time is an argument of each
 /// function.
 class ServiceQueue
 {
@@ -65,6 +73,18 @@
     /// Leases granted beyond a server's slots, so that the next requests already travel to the
     /// server when a slot becomes free.
     static constexpr std::uint32_t kExtraLeases = 3;
+    /// Requests that have waited for so long are not refused for lack of room any more.
+    static constexpr Duration kDecisionTime = milliseconds(80);
+
+    /// What the queue did, for metrics. Each is a number of requests.
+    struct Counts
+    {
+        std::uint64_t refusedAtOnce = 0; ///< In the first decide() after they arrived.
+        std::uint64_t displaced = 0;     ///< Refused later, in favour of more urgent requests.
+        std::uint64_t refusedLate = 0;   ///< Kept, and then not served in time.
+        std::uint64_t cameBack = 0;      ///< Attempts of callers that had been refused.
+        std::uint64_t cameBackEarly = 0; ///< Of these, before the time that they were told.
+    };
 
     /// Replaces the list of servers that accept requests. Leases of servers that leave the list
     /// stay valid and count again when the server returns.
@@ -79,13 +99,14 @@
     /// ids are ignored.
     void release(std::uint64_t leaseId, LeaseOutcome outcome, TimePoint now);
     /// Drops expired leases, refuses requests that cannot be served in time and grants every lease
-    /// that a server has room for. Returns the decisions, refusals first.
+    /// that a server has room for. Returns the decisions.
     std::vector<LeaseDecision> decide(TimePoint now);
 
     /// Number of waiting requests.
     std::size_t waitingCount() const { return m_waiting.size(); }
     /// Number of leases that are granted and not released.
     std::size_t leaseCount() const { return m_leases.size(); }
+    const Counts &counts() const { return m_counts; }
 
 private:
     struct Server
@@ -105,29 +126,62 @@
         TimePoint expiresAt; ///< Reached if its router has died or cannot reach this one.
     };
 
-    using WaitingRequests = std::list<LeaseRequest>;
+    struct WaitingRequest
+    {
+        LeaseRequest request;
+        TimePoint arrivedAt;       ///< At its router.
+        TimePoint callerDeadline;  ///< The caller leaves; only if it is known.
+        bool isPlanned = false;    ///< A plan has kept it.
+        bool isKeptReturn = false; ///< Its caller came back when it was told to.
+    };
+
+    using WaitingRequests = std::list<WaitingRequest>;
+
+    /// Order in which requests are served; the lesser comes first.
+    struct Place
+    {
+        enum class Class : std::uint8_t {
+            Due,    ///< Kept, and its time ends soon.
+            OnTime, ///< Can still be answered on time.
+            Late,   ///< A late answer loses nothing by a little more delay.
+        };
+
+        Class timeClass = Class::OnTime;
+        std::uint32_t priority = 0;
+        std::uint8_t rank = 0;   ///< Kept requests, then returns that were told when, then others.
+        double grantedRatio = 0; ///< Of the organisation.
+
+        auto operator<=>(const Place &other) const = default;
+    };
 
     /// Number of leases at the server, also if it is not in the list of servers.
     std::uint32_t leaseCountAt(std::uint32_t server) const;
     void dropExpiredLeases(TimePoint now);
+    /// Refuses requests whose time is too short for an answer.
+    void refuseExpired(TimePoint now, std::vector<LeaseDecision> &decisions);
+    /// Grants every lease that a server has room for.
+    void grantLeases(TimePoint now, std::vector<LeaseDecision> &decisions);
+    /// Refuses the requests that will not be served in their time: what is before each in the order
+    /// and the drain rate tell when it will be its turn.
     void refuseUnservable(TimePoint now, std::vector<LeaseDecision> &decisions);
+    LeaseDecision refuse(const WaitingRequest &waiting, Duration drainTime, TimePoint now);
     /// The waiting request to serve next among those that a server has room for, or the end.
     WaitingRequests::iterator nextRequest(TimePoint now);
-    bool comesBefore(const LeaseRequest &left, const LeaseRequest &right, TimePoint now) const;
+    Place placeOf(const WaitingRequest &waiting, TimePoint now) const;
+    /// True if the request is not refused for lack of room any more.
+    bool isKept(const WaitingRequest &waiting, TimePoint now) const;
     /// The server with room and the lowest expected time for the request, or the end.
     std::map<std::uint32_t, Server>::iterator bestServerFor(const LeaseRequest &request,
                                                             TimePoint now);
     /// Mean of the servers' average lease times.
-    double meanLeaseTimeUs() const;
+    Duration meanLeaseTime() const;
+    Duration minAnswerTime() const;   ///< Remaining time without which no lease is granted.
     std::uint32_t totalSlots() const; ///< Sum over all servers, at least 1.
     /// True if a lease granted now is expected to give an answer on time.
     bool isOnTime(const LeaseRequest &request, TimePoint now) const;
-    /// Maximum number of waiting requests that cannot be answered on time any more.
-    std::size_t maxLateWaiting() const;
-    /// Time in which the servers work off all waiting requests.
-    Duration drainTime() const;
     /// Leases granted to the organisation recently, relative to its usual number of requests.
     double grantedRatio(const std::string &organisation) const;
+    double drainRate() const; ///< Leases a second that the servers can end.
     /// Ages the request and grant counts of all organisations.
     void decayCounts(TimePoint now);
 
@@ -143,6 +197,12 @@
     std::map<std::string, Organisation> m_organisations; ///< By name.
     TimePoint m_decayedAt = TimePoint::min();
     std::uint64_t m_lastLeaseId = 0; ///< Lease ids start at 1, since 0 means refused.
+    DrainRate m_drainRate;
+    ArrivalRate m_firstAttempts;
+    RefusalMemory m_refusals;
+    TimePoint m_lastRetryAt = TimePoint::min(); ///< Latest time that a refused caller was told.
+    bool m_needsPlan = false; ///< The waiting requests changed since the last plan.
+    Counts m_counts;
 };
 
 } // namespace comfrey
--- a/src/gateway/leasesource.h
+++ b/src/gateway/leasesource.h
@@ -19,8 +19,12 @@
     std::string organisation;
     std::uint32_t priority = 0;
     Duration onTimeWithin;               ///< An answer within this time is on time.
-    Duration answerWithin;               ///< The caller leaves after this time.
+    Duration answerWithin;               ///< A later answer reaches nobody.
     std::vector<std::uint32_t> excluded; ///< Servers to avoid, by incarnation hash.
+    std::uint64_t fingerprint = 0;       ///< The same for equal requests of one caller.
+    Duration callerWithin{0}; ///< The caller leaves after this time, if it said so; else 0.
+    Duration waited{0};       ///< Time since the request arrived.
+    bool isRetry = false;     ///< The request was sent to a server before.
 };
 
 /// Right to have one request in flight at a server, granted by the owner of the queue. It expires
--- a/src/gateway/proxiedrequest.cpp
+++ b/src/gateway/proxiedrequest.cpp
@@ -182,6 +182,11 @@
     request.onTimeWithin = std::max(Duration(0), m_arrivedAt + route.objective - now);
     request.answerWithin = std::max(Duration(0), m_deadline - now);
     request.excluded = dispatcher().excludedServers(m_admission.service, m_triedIncarnations, now);
+    request.fingerprint = m_facts.fingerprint.value();
+    if (m_facts.callerTimeout)
+        request.callerWithin = std::max(Duration(0), m_arrivedAt + *m_facts.callerTimeout - now);
+    request.waited = now - m_arrivedAt;
+    request.isRetry = !m_triedIncarnations.empty();
     m_gateway.dependencies().leaseSource->requestLease(
         request, now, [this, self = shared_from_this(), now](const LeaseReply &reply) {
             onLeaseReply(reply, now);
--- a/src/gateway/sharedqueuelink.cpp
+++ b/src/gateway/sharedqueuelink.cpp
@@ -79,6 +79,10 @@
     poll.onTimeMs = wholeMilliseconds(requirements.onTimeWithin);
     poll.limitMs = wholeMilliseconds(requirements.answerWithin);
     poll.excluded = requirements.excluded;
+    poll.fingerprint = requirements.fingerprint;
+    poll.callerMs = wholeMilliseconds(requirements.callerWithin);
+    poll.waitedMs = wholeMilliseconds(requirements.waited);
+    poll.isRetry = requirements.isRetry;
     return poll;
 }
 
@@ -91,6 +95,10 @@
     request.onTimeDeadline = now + milliseconds(poll.onTimeMs);
     request.answerDeadline = now + milliseconds(poll.limitMs);
     request.excluded = poll.excluded;
+    request.fingerprint = poll.fingerprint;
+    request.callerTime = milliseconds(poll.callerMs);
+    request.waited = milliseconds(poll.waitedMs);
+    request.isRetry = poll.isRetry;
     return request;
 }
 
--- a/tests/servicequeuetest.cpp
+++ b/tests/servicequeuetest.cpp
@@ -52,6 +52,15 @@
     CPPUNIT_TEST(sharedQueueServesPeakLoadOnTime);
     CPPUNIT_TEST(sharedQueueUnderOverloadKeepsServingOnTime);
     CPPUNIT_TEST(hotOrganisationLeavesOtherOrganisationsOnTime);
+    CPPUNIT_TEST(requestThatCannotBeServedIsRefusedOnArrival);
+    CPPUNIT_TEST(moreUrgentArrivalDisplacesAWaitingRequestAtOnce);
+    CPPUNIT_TEST(requestKeptForTheDecisionTimeIsNotDisplaced);
+    CPPUNIT_TEST(callerThatComesBackAsToldIsServedBeforeLateNewcomers);
+    CPPUNIT_TEST(callerThatComesBackDoesNotDisplaceRequestsOnTime);
+    CPPUNIT_TEST(equalRequestOfAnotherCallerIsNoReturn);
+    CPPUNIT_TEST(refusalsInAnOverloadAreSaidAtOnce);
+    CPPUNIT_TEST(overloadServesMoreUrgentKindFirst);
+    CPPUNIT_TEST(heavyOrganisationUnderOverloadTakesRoomFromItself);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -105,9 +114,12 @@
     {
         grantAllLeases();
         enqueueMany(15);
+        CPPUNIT_ASSERT(m_queue.decide(at(0)).empty());
         CPPUNIT_ASSERT(m_queue.decide(at(1000)).empty());
+        // No lease ends, which could not be known before.
         const auto refused = m_queue.decide(at(1190));
         CPPUNIT_ASSERT_EQUAL(std::size_t{15}, refused.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{15}, m_queue.counts().refusedLate);
         for (const LeaseDecision &decision : refused) {
             CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, decision.leaseId);
             CPPUNIT_ASSERT(decision.retryAfter >= milliseconds(200));
@@ -227,7 +239,245 @@
         }
     }
 
+    void requestThatCannotBeServedIsRefusedOnArrival()
+    {
+        grantAllLeases();
+        // Four slots of 30 ms leave room for some 20 requests within 150 ms; newcomers fill it.
+        std::size_t refused = 0;
+        for (std::int64_t ms = 0; ms < 40; ++ms) {
+            enqueueMany(5, at(ms));
+            for (const LeaseDecision &decision : m_queue.decide(at(ms))) {
+                CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, decision.leaseId);
+                CPPUNIT_ASSERT(decision.retryAfter > Duration(0));
+                ++refused;
+            }
+        }
+        CPPUNIT_ASSERT(refused > 150);
+        CPPUNIT_ASSERT(m_queue.waitingCount() < 40);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{refused},
+                             m_queue.counts().refusedAtOnce + m_queue.counts().displaced);
+    }
+
+    void moreUrgentArrivalDisplacesAWaitingRequestAtOnce()
+    {
+        const std::size_t waiting = fillQueue();
+        const LeaseRequest urgent = leaseRequest(++m_lastRequestId);
+        m_queue.enqueue(urgent, at(0));
+        const auto decisions = m_queue.decide(at(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions.size());
+        CPPUNIT_ASSERT(decisions[0].requestId != urgent.id);
+        CPPUNIT_ASSERT_EQUAL(waiting, m_queue.waitingCount());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_queue.counts().displaced);
+    }
+
+    void requestKeptForTheDecisionTimeIsNotDisplaced()
+    {
+        fillQueue();
+        m_queue.enqueue(leaseRequest(++m_lastRequestId, "o", at(85)), at(85));
+        CPPUNIT_ASSERT(m_queue.decide(at(85)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, m_queue.counts().displaced);
+    }
+
+    void callerThatComesBackAsToldIsServedBeforeLateNewcomers()
+    {
+        refuseOne();
+        drainAll(at(50));
+        // An overload that has ended; leases are all taken again.
+        enqueueMany(kMaxLeases, at(3000));
+        const std::vector<LeaseDecision> taken = m_queue.decide(at(3000));
+        LeaseRequest late = leaseRequest(++m_lastRequestId, "newcomer", at(2800));
+        late.answerDeadline = at(6000);
+        m_queue.enqueue(late, at(3000));
+        const LeaseRequest back = returning(at(3000));
+        m_queue.enqueue(back, at(3000));
+        CPPUNIT_ASSERT(m_queue.decide(at(3000)).empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_queue.counts().cameBack);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, m_queue.counts().cameBackEarly);
+        m_queue.release(taken[0].leaseId, LeaseOutcome::Answered, at(3001));
+        const auto next = m_queue.decide(at(3001));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, next.size());
+        CPPUNIT_ASSERT_EQUAL(back.id, next[0].requestId);
+    }
+
+    void callerThatComesBackDoesNotDisplaceRequestsOnTime()
+    {
+        refuseOne();
+        drainAll(at(50));
+        enqueueMany(kMaxLeases, at(3000));
+        const std::vector<LeaseDecision> taken = m_queue.decide(at(3000));
+        m_queue.enqueue(returning(at(3000)), at(3000));
+        LeaseRequest newcomer = leaseRequest(++m_lastRequestId, "o", at(3000));
+        m_queue.enqueue(newcomer, at(3000));
+        m_queue.release(taken[0].leaseId, LeaseOutcome::Answered, at(3001));
+        const auto next = m_queue.decide(at(3001));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, next.size());
+        CPPUNIT_ASSERT_EQUAL(newcomer.id, next[0].requestId);
+    }
+
+    void equalRequestOfAnotherCallerIsNoReturn()
+    {
+        refuseOne();
+        drainAll(at(50));
+        LeaseRequest other = returning(at(3000));
+        other.callerTime = kCallerTime; // As much as the refused caller had at first.
+        m_queue.enqueue(other, at(3000));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, m_queue.counts().cameBack);
+        m_queue.enqueue(returning(at(3000)), at(3000));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_queue.counts().cameBack);
+        // Each refusal is followed by one return.
+        m_queue.enqueue(returning(at(3000)), at(3000));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_queue.counts().cameBack);
+    }
+
+    /// Two to three times the usual, one of the servers down: what cannot be served is said within
+    /// 0.1 s, and nobody is kept and then not served.
+    void refusalsInAnOverloadAreSaidAtOnce()
+    {
+        for (const ServiceSimulationConfig &config : overloads()) {
+            const ServiceSimulationResult result = simulate<SharedQueuePolicy>(config);
+            printResult("overload, returns", result);
+            printRefusals(result);
+            CPPUNIT_ASSERT(result.refusedAttempts > 100);
+            CPPUNIT_ASSERT(result.longestRefusal <= milliseconds(100));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, result.heldInVain);
+            CPPUNIT_ASSERT(result.timedOut * 1000 < result.requests);
+        }
+    }
+
+    void overloadServesMoreUrgentKindFirst()
+    {
+        for (const ServiceSimulationConfig &config : overloads()) {
+            const ServiceSimulationResult result = simulate<SharedQueuePolicy>(config);
+            const auto &urgent = result.kinds.at(0);
+            const auto &other = result.kinds.at(1);
+            CPPUNIT_ASSERT(urgent.onTimeShare() >= other.onTimeShare());
+            CPPUNIT_ASSERT(urgent.answeredShare() >= other.answeredShare());
+        }
+    }
+
+    /// One organisation at 7.5 times its usual beside a usual load that fits: the others are served
+    /// on time.
+    void heavyOrganisationUnderOverloadTakesRoomFromItself()
+    {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            ServiceSimulationConfig config = smallService(75, milliseconds(1000));
+            config.hotLoadFactor = 7.5;
+            config.seed = seed;
+            const ServiceSimulationResult result = simulate<SharedQueuePolicy>(config);
+            printResult("heavy organisation, returns", result);
+            printRefusals(result);
+            CPPUNIT_ASSERT(result.longestRefusal <= milliseconds(100));
+            for (const auto &[organisation, share] : result.onTimeShareByOrganisation) {
+                if (organisation != "o0")
+                    CPPUNIT_ASSERT(share >= 0.85);
+            }
+        }
+    }
+
 private:
+    static constexpr std::uint64_t kFingerprint = 77;
+    static constexpr Duration kCallerTime = milliseconds(8000);
+
+    /// A service of three servers whose refused callers come back once.
+    static ServiceSimulationConfig smallService(std::size_t routers, Duration callerTimeout)
+    {
+        ServiceSimulationConfig config;
+        config.routers = routers;
+        config.requestsPerSecond = 241;
+        config.callerTimeout = callerTimeout;
+        config.returns = 1;
+        config.lessUrgentShare = 0.2;
+        return config;
+    }
+
+    static std::vector<ServiceSimulationConfig> overloads()
+    {
+        std::vector<ServiceSimulationConfig> configs;
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            ServiceSimulationConfig config = smallService(75, milliseconds(1000));
+            config.seed = seed;
+            config.overloadFactor = 2.6;
+            configs.push_back(config);
+            config.overloadFactor = 2;
+            config.serversDown = 1;
+            configs.push_back(config);
+            config.overloadFactor = 2.6;
+            config.hotLoadFactor = 7.5;
+            config.serversDown = 0;
+            configs.push_back(config);
+            config = smallService(142, milliseconds(1500));
+            config.seed = seed;
+            config.requestsPerSecond = 408;
+            config.meanServiceTime = milliseconds(15);
+            config.objective = milliseconds(120);
+            config.overloadFactor = 3;
+            configs.push_back(config);
+        }
+        return configs;
+    }
+
+    static void printRefusals(const ServiceSimulationResult &result)
+    {
+        const auto &urgent = result.kinds.at(0);
+        const auto &other = result.kinds.at(1);
+        std::printf("    attempts refused %5zu, after 0.1 s %5zu, longest %4.0f ms, held in vain "
+                    "%zu; urgent %.3f on time %.3f answered, others %.3f and %.3f\n",
+                    result.refusedAttempts, result.lateRefusals,
+                    static_cast<double>(result.longestRefusal.count()) / 1000, result.heldInVain,
+                    urgent.onTimeShare(), urgent.answeredShare(), other.onTimeShare(),
+                    other.answeredShare());
+    }
+
+    /// Takes all leases and fills the queue with less urgent requests until one is refused. Returns
+    /// the number that wait.
+    std::size_t fillQueue()
+    {
+        grantAllLeases();
+        while (true) {
+            LeaseRequest request = leaseRequest(++m_lastRequestId);
+            request.priority = 1;
+            request.answerDeadline = request.onTimeDeadline; // It is of no use late.
+            m_queue.enqueue(request, at(0));
+            if (!m_queue.decide(at(0)).empty())
+                return m_queue.waitingCount();
+        }
+    }
+
+    /// Fills the queue until the request of a caller that can come back is refused.
+    std::uint64_t refuseOne()
+    {
+        fillQueue();
+        LeaseRequest request = leaseRequest(++m_lastRequestId);
+        request.priority = 2;
+        request.answerDeadline = request.onTimeDeadline;
+        request.fingerprint = kFingerprint;
+        request.callerTime = kCallerTime;
+        m_queue.enqueue(request, at(0));
+        const auto decisions = m_queue.decide(at(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions.size());
+        CPPUNIT_ASSERT_EQUAL(request.id, decisions[0].requestId);
+        return request.id;
+    }
+
+    /// The next attempt of the caller of refuseOne().
+    LeaseRequest returning(TimePoint now)
+    {
+        LeaseRequest request = leaseRequest(++m_lastRequestId, "newcomer", now);
+        request.fingerprint = kFingerprint;
+        request.callerTime = kCallerTime - (now - at(0));
+        request.answerDeadline = at(6000);
+        return request;
+    }
+
+    /// Lets all granted leases expire and drops all waiting requests.
+    void drainAll(TimePoint now)
+    {
+        for (std::uint64_t id = 1; id <= m_lastRequestId; ++id)
+            m_queue.withdraw(id);
+        for (std::uint64_t lease = 1; lease <= kMaxLeases; ++lease)
+            m_queue.release(lease, LeaseOutcome::Unused, now);
+    }
+
     /// Leases of two servers with two slots each.
     static constexpr std::uint64_t kMaxLeases =
         2U * (2U + std::uint64_t{ServiceQueue::kExtraLeases});
@@ -244,10 +494,10 @@
                     result.onTimeShareByOrganisation.at("o0"));
     }
 
-    void enqueueMany(std::uint64_t count)
+    void enqueueMany(std::uint64_t count, TimePoint now = at(0))
     {
         for (std::uint64_t index = 0; index < count; ++index)
-            m_queue.enqueue(leaseRequest(++m_lastRequestId), at(0));
+            m_queue.enqueue(leaseRequest(++m_lastRequestId, "o", now), now);
     }
 
     /// Grants every lease that the two servers allow.
--- a/tests/support/servicepolicies.h
+++ b/tests/support/servicepolicies.h
@@ -114,40 +114,71 @@
 
     void onRequest(ServiceQueueSimulation &simulation, std::size_t request, TimePoint now) override
     {
+        requestLease(simulation, request, {}, now);
+    }
+
+    void onEnd(ServiceQueueSimulation &simulation, std::size_t request, bool wasExecuted,
+               TimePoint now) override
+    {
+        release(simulation, request, wasExecuted ? LeaseOutcome::Answered : LeaseOutcome::NotRun,
+                now);
+    }
+
+    void onUnreachable(ServiceQueueSimulation &simulation, std::size_t request,
+                       TimePoint now) override
+    {
+        release(simulation, request, LeaseOutcome::Unreachable, now);
+        requestLease(simulation, request,
+                     {static_cast<std::uint32_t>(simulation.request(request).server)}, now);
+    }
+
+    const ServiceQueue::Counts &counts() const { return m_queue.counts(); }
+
+private:
+    void requestLease(ServiceQueueSimulation &simulation, std::size_t request,
+                      std::vector<std::uint32_t> excluded, TimePoint now)
+    {
+        const SimulatedServiceRequest &caller = simulation.request(request);
         LeaseRequest leaseRequest;
-        leaseRequest.id = request;
-        leaseRequest.organisation = simulation.request(request).organisation;
-        leaseRequest.onTimeDeadline = now + simulation.config().objective;
-        leaseRequest.answerDeadline = now + simulation.config().callerTimeout;
+        leaseRequest.id = ++m_lastId;
+        m_requests[leaseRequest.id] = request;
+        leaseRequest.organisation = caller.organisation;
+        leaseRequest.priority = caller.priority;
+        leaseRequest.onTimeDeadline = caller.attemptedAt + simulation.config().objective;
+        leaseRequest.answerDeadline = simulation.callerDeadline(request);
+        leaseRequest.isRetry = !excluded.empty();
+        leaseRequest.excluded = std::move(excluded);
+        leaseRequest.fingerprint = request + 1;
+        leaseRequest.waited = now - caller.attemptedAt;
         simulation.later(now + simulation.config().networkDelay,
-                         [this, &simulation, leaseRequest](TimePoint then) {
+                         [this, &simulation, leaseRequest](TimePoint then) mutable {
+                             leaseRequest.callerTime = leaseRequest.answerDeadline - then;
                              m_queue.enqueue(leaseRequest, then);
                              decide(simulation, then);
                          });
     }
 
-    void onEnd(ServiceQueueSimulation &simulation, std::size_t request, bool wasExecuted,
-               TimePoint now) override
+    void release(ServiceQueueSimulation &simulation, std::size_t request, LeaseOutcome outcome,
+                 TimePoint now)
     {
+        const std::uint64_t lease = m_leaseIds[request];
         simulation.later(now + simulation.config().networkDelay,
-                         [this, &simulation, request, wasExecuted](TimePoint then) {
-                             m_queue.release(
-                                 m_leaseIds[request],
-                                 wasExecuted ? LeaseOutcome::Answered : LeaseOutcome::NotRun, then);
+                         [this, &simulation, lease, outcome](TimePoint then) {
+                             m_queue.release(lease, outcome, then);
                              decide(simulation, then);
                          });
     }
 
-private:
     void decide(ServiceQueueSimulation &simulation, TimePoint now)
     {
         for (const LeaseDecision &decision : m_queue.decide(now)) {
-            const std::size_t request = decision.requestId;
+            const std::size_t request = m_requests[decision.requestId];
+            m_requests.erase(decision.requestId);
             m_leaseIds[request] = decision.leaseId;
             simulation.later(now + simulation.config().networkDelay,
                              [&simulation, request, decision](TimePoint then) {
                                  if (decision.leaseId == 0)
-                                     simulation.refuse(request, then);
+                                     simulation.refuse(request, then, decision.retryAfter);
                                  else
                                      simulation.send(request, decision.server, then);
                              });
@@ -155,6 +186,8 @@
     }
 
     ServiceQueue m_queue;
+    std::uint64_t m_lastId = 0;
+    std::map<std::uint64_t, std::size_t> m_requests; ///< By id of the waiting lease request.
     std::map<std::size_t, std::uint64_t> m_leaseIds; ///< By request.
 };
 
--- a/tests/support/servicequeuesimulation.cpp
+++ b/tests/support/servicequeuesimulation.cpp
@@ -49,10 +49,10 @@
     if (now - start() >= m_config.duration)
         return;
     std::uniform_real_distribution<double> uniform(0, 1);
-    const auto third = m_config.duration / 3;
-    const bool isHot = now - start() >= third && now - start() < 2 * third;
+    const bool isHot = isMiddleThird(now);
     const double extra =
         isHot ? m_config.largestOrganisationShare * (m_config.hotLoadFactor - 1) : 0;
+    const double factor = (isHot ? m_config.overloadFactor : 1) * (1 + extra);
     do {
         SimulatedServiceRequest request;
         request.router = m_arrivalRandom() % m_config.routers;
@@ -61,35 +61,86 @@
         const bool isLargest = uniform(m_arrivalRandom) < share;
         request.organisation =
             'o' + std::to_string(isLargest ? 0 : 1 + m_arrivalRandom() % (kOrganisationCount - 1));
-        m_requests.push_back(std::move(request));
+        // No random number is drawn for a load of one kind, which is the same as before.
+        if (m_config.lessUrgentShare > 0 && uniform(m_arrivalRandom) < m_config.lessUrgentShare)
+            request.priority = 1;
         ++m_result.requests;
-        ++m_countsByOrganisation[m_requests.back().organisation].second;
-        m_policy.onRequest(*this, m_requests.size() - 1, now);
+        ++m_countsByOrganisation[request.organisation].second;
+        ++m_result.kinds[request.priority].requests;
+        m_result.middleThird.requests += isHot ? 1 : 0;
+        m_requests.push_back(std::move(request));
+        const std::size_t id = m_requests.size() - 1;
+        later(now + m_config.callerTimeout, [this, id](TimePoint then) {
+            SimulatedServiceRequest &ended = m_requests[id];
+            if (ended.isFinished || ended.isSent)
+                return;
+            ended.isFinished = true;
+            ++m_result.heldInVain;
+            ++m_result.timedOut;
+            m_result.longestRefusal = std::max(m_result.longestRefusal, then - ended.attemptedAt);
+        });
+        attempt(id, now);
     } while (uniform(m_arrivalRandom) > 1 / m_config.meanBurstSize);
-    std::exponential_distribution<double> pause(arrivalRateAt(now) * (1 + extra)
+    std::exponential_distribution<double> pause(arrivalRateAt(now) * factor
                                                 / m_config.meanBurstSize);
     later(now + fromSeconds(pause(m_arrivalRandom)),
           [this](TimePoint then) { generateArrivals(then); });
 }
 
+bool ServiceQueueSimulation::isMiddleThird(TimePoint at) const
+{
+    const auto third = m_config.duration / 3;
+    return at - start() >= third && at - start() < 2 * third;
+}
+
+void ServiceQueueSimulation::attempt(std::size_t request, TimePoint now)
+{
+    m_requests[request].attemptedAt = now;
+    ++m_result.attempts;
+    m_policy.onRequest(*this, request, now);
+}
+
 void ServiceQueueSimulation::send(std::size_t request, std::size_t server, TimePoint now)
 {
     m_requests[request].server = server;
+    m_requests[request].isSent = true;
     later(now + m_config.networkDelay,
           [this, request](TimePoint then) { arriveAtServer(request, then); });
 }
 
-void ServiceQueueSimulation::refuse(std::size_t request, TimePoint)
+void ServiceQueueSimulation::refuse(std::size_t request, TimePoint now, Duration retryAfter)
 {
-    if (std::exchange(m_requests[request].isFinished, true))
+    SimulatedServiceRequest &refused = m_requests[request];
+    if (refused.isFinished)
+        return;
+    const Duration waited = now - refused.attemptedAt;
+    ++m_result.refusedAttempts;
+    m_result.longestRefusal = std::max(m_result.longestRefusal, waited);
+    if (waited > milliseconds(100))
+        ++m_result.lateRefusals;
+    const Duration left = callerDeadline(request) - now;
+    const TimePoint returnsAt = now + std::min(retryAfter, left / 3);
+    if (refused.attempts > m_config.returns || left <= Duration(0)) {
+        refused.isFinished = true;
+        ++m_result.refused;
         return;
-    ++m_result.refused;
+    }
+    ++refused.attempts;
+    refused.isSent = false;
+    refused.router = m_policyRandom() % m_config.routers;
+    later(returnsAt, [this, request](TimePoint then) { attempt(request, then); });
 }
 
 void ServiceQueueSimulation::arriveAtServer(std::size_t request, TimePoint now)
 {
     const std::size_t index = m_requests[request].server;
     Server &server = m_servers[index];
+    if (index < m_config.serversDown && isMiddleThird(now)) {
+        m_requests[request].isSent = false;
+        later(now + m_config.networkDelay,
+              [this, request](TimePoint then) { m_policy.onUnreachable(*this, request, then); });
+        return;
+    }
     if (server.running < m_config.slots) {
         startWork(index, request, now);
     } else if (server.queue.size() < m_config.maxQueued) {
@@ -143,8 +194,14 @@
                 ++m_result.timedOut;
             else
                 m_answerTimes.push_back(took);
+            if (took <= m_config.callerTimeout) {
+                ++m_result.kinds[answered.priority].answered;
+                m_result.middleThird.answered += isMiddleThird(answered.arrivedAt) ? 1 : 0;
+            }
             if (took <= m_config.objective) {
                 ++m_result.onTime;
+                ++m_result.kinds[answered.priority].onTime;
+                m_result.middleThird.onTime += isMiddleThird(answered.arrivedAt) ? 1 : 0;
                 ++m_countsByOrganisation[answered.organisation].first;
             } else if (took <= m_config.callerTimeout) {
                 ++m_result.late;
--- a/tests/support/servicequeuesimulation.h
+++ b/tests/support/servicequeuesimulation.h
@@ -37,6 +37,12 @@
     /// Share of the largest of ten organisations; the others share the rest equally.
     double largestOrganisationShare = 0.2;
     double hotLoadFactor = 1; ///< Load factor of the largest organisation in the middle third.
+    /// Load factor of all organisations in the middle third.
+    double overloadFactor = 1;
+    /// Share of the requests that are of the less urgent kind (priority 1); the others have 0.
+    double lessUrgentShare = 0;
+    std::uint32_t returns = 0;   ///< How often a refused caller comes back.
+    std::size_t serversDown = 0; ///< Servers that refuse connections in the middle third.
     std::uint64_t seed = 1;
 };
 
@@ -49,6 +55,29 @@
     std::size_t refused = 0;  ///< Refused by the policy, or shed by a server.
     std::size_t timedOut = 0; ///< No answer within the caller timeout.
     Duration medianTime{0};   ///< Median answer time.
+    std::size_t attempts = 0; ///< Requests, and returns of refused callers.
+    std::size_t refusedAttempts = 0;
+    Duration longestRefusal{0};   ///< Longest time from an attempt's arrival to its refusal.
+    std::size_t lateRefusals = 0; ///< Attempts refused more than 0.1 s after their arrival.
+    std::size_t heldInVain = 0;   ///< Requests whose time ended before they were sent or refused.
+    /// Requests that are answered on time, answered at all, and asked, by priority.
+    struct Kind
+    {
+        std::size_t onTime = 0;
+        std::size_t answered = 0;
+        std::size_t requests = 0;
+
+        double onTimeShare() const
+        {
+            return static_cast<double>(onTime) / static_cast<double>(requests);
+        }
+        double answeredShare() const
+        {
+            return static_cast<double>(answered) / static_cast<double>(requests);
+        }
+    };
+    std::map<std::uint32_t, Kind> kinds;
+    Kind middleThird; ///< Of the requests that arrived in the middle third.
     /// Share of the requests answered on time, by organisation; the largest is "o0".
     std::map<std::string, double> onTimeShareByOrganisation;
 
@@ -75,6 +104,12 @@
     /// The server has executed the request, or shed it if not `wasExecuted`.
     virtual void onEnd(ServiceQueueSimulation &simulation, std::size_t request, bool wasExecuted,
                        TimePoint now) = 0;
+    /// The request's server refused the connection.
+    virtual void onUnreachable(ServiceQueueSimulation &simulation, std::size_t request,
+                               TimePoint now)
+    {
+        onEnd(simulation, request, false, now);
+    }
 };
 
 /// State of one request.
@@ -82,8 +117,12 @@
 {
     std::size_t router = 0;
     std::string organisation;
-    TimePoint arrivedAt;
+    std::uint32_t priority = 0;
+    TimePoint arrivedAt;   ///< The caller's first attempt.
+    TimePoint attemptedAt; ///< The caller's present attempt.
+    std::uint32_t attempts = 1;
     std::size_t server = 0; ///< Valid after send().
+    bool isSent = false;
     bool isFinished = false;
 };
 
@@ -104,8 +143,14 @@
     // Called by policies.
     /// Sends the request to the server, where it arrives after the network delay.
     void send(std::size_t request, std::size_t server, TimePoint now);
-    /// Ends the request as refused, unless it has ended already.
-    void refuse(std::size_t request, TimePoint now);
+    /// Ends the attempt as refused, unless the request has ended already. The caller comes back
+    /// after `retryAfter`, or after a third of its time if that is less.
+    void refuse(std::size_t request, TimePoint now, Duration retryAfter = milliseconds(200));
+    TimePoint callerDeadline(std::size_t request) const
+    {
+        return m_requests[request].arrivedAt + m_config.callerTimeout;
+    }
+    bool isMiddleThird(TimePoint at) const;
     /// Runs the step at the given time.
     void later(TimePoint at, SimulationSteps::Step step) { m_steps.schedule(at, std::move(step)); }
 
@@ -119,6 +164,7 @@
     };
 
     void generateArrivals(TimePoint now);
+    void attempt(std::size_t request, TimePoint now);
     void arriveAtServer(std::size_t request, TimePoint now);
     void startWork(std::size_t server, std::size_t request, TimePoint now);
     void finishWork(std::size_t server, std::size_t request, TimePoint now);
