--- a/src/gateway/proxiedrequest.cpp
+++ b/src/gateway/proxiedrequest.cpp
@@ -191,6 +191,11 @@
     request.answerWithin = std::max(Duration(0), m_deadline - now);
     request.excluded = dispatcher().excludedServers(m_admission.service, m_triedIncarnations, now,
                                                     m_admission.regions);
+    request.fingerprint = m_facts.fingerprint.value();
+    if (m_facts.callerTimeout)
+        request.callerWithin = std::max(Duration(0), m_arrivedAt + *m_facts.callerTimeout - now);
+    request.waited = now - m_arrivedAt;
+    request.isRetry = !m_triedIncarnations.empty();
     m_gateway.dependencies().leaseSource->requestLease(
         request, now, [this, self = shared_from_this(), now](const LeaseReply &reply) {
             onLeaseReply(reply, now);
