Routers: a complete list of keys is a fact of its own, and travels as one

Change: RecordFeed says for a topic below which order everything is reflected, and below which order records of removals may lack. A follower that knows less gets the keys that exist with the records; what it has beyond them and below that order is removed. What a list lacks but may only list late is removed in doubt: its record is taken again from the store, or from a router that knows more. A record below what is known is refused.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -111,6 +111,15 @@
     return known;
 }
 
+/// Age for the wire of what was read at `readAt`.
+std::uint32_t ageMs(TimePoint readAt, TimePoint now)
+{
+    if (readAt == TimePoint::min())
+        return 0;
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>((now - readAt).count() / 1000, 0, kMaxRecordAgeMs));
+}
+
 std::unique_ptr<wire::NewsRecordT> toWire(const FeedChange &change, TimePoint now)
 {
     const FeedRecord &record = *change.record;
@@ -119,9 +128,7 @@
     wireRecord->key = record.key;
     wireRecord->removed = !record.value;
     wireRecord->order = record.order;
-    if (record.readAt != TimePoint::min())
-        wireRecord->ageMs = static_cast<std::uint32_t>(
-            std::clamp<std::int64_t>((now - record.readAt).count() / 1000, 0, kMaxRecordAgeMs));
+    wireRecord->ageMs = ageMs(record.readAt, now);
     wireRecord->isDelta = change.delta != nullptr;
     wireRecord->baseOrder = change.baseOrder;
     if (change.delta)
@@ -131,6 +138,36 @@
     return wireRecord;
 }
 
+/// `hasAllRecords` means that the records of the answer name all keys.
+std::unique_ptr<wire::TopicKeysT> toWire(const CompleteList &list, bool hasAllRecords,
+                                         TimePoint now)
+{
+    auto keys = std::make_unique<wire::TopicKeysT>();
+    keys->topic = list.topic;
+    keys->keysInRecords = hasAllRecords;
+    if (!hasAllRecords)
+        keys->keys.assign(list.keys.begin(), list.keys.end());
+    keys->end = list.end;
+    keys->claimedEnd = list.claimedEnd;
+    keys->removalsFrom = list.removalsFrom;
+    keys->ageMs = ageMs(list.readAt, now);
+    return keys;
+}
+
+CompleteList fromWire(const wire::TopicKeysT &keys, const wire::NewsAnswerT &updates, TimePoint now)
+{
+    CompleteList list{keys.topic,        {keys.keys.begin(), keys.keys.end()},
+                      keys.end,          keys.claimedEnd,
+                      keys.removalsFrom, now - milliseconds(keys.ageMs)};
+    if (keys.keysInRecords) {
+        for (const auto &record : updates.records) {
+            if (record->topic == keys.topic && !record->removed)
+                list.keys.insert(record->key);
+        }
+    }
+    return list;
+}
+
 /// Value of the router's record: zone, address and capacity tier, one per line.
 std::string encodeRouter(const RouterInfo &router)
 {
@@ -340,13 +377,14 @@
     // In an exchange both sides read the store; a probe only checks whether a router is up to date.
     poll.routersOnly =
         purpose != PollPurpose::Follow && (purpose != PollPurpose::Exchange || isFresh(now));
-    const FeedPosition &position = poll.routersOnly ? state.routerTopic : state.allTopics;
-    poll.source = position.source;
-    poll.since = position.number;
+    RecordPoll records = state.allTopics.poll(m_feed);
+    if (poll.routersOnly)
+        records = {state.routerTopic.source, state.routerTopic.number, {}};
+    poll.source = records.source;
+    poll.since = records.since;
+    poll.known = toWire(records.known);
     poll.standing = m_settings.self.capacityTier;
     poll.noRecords = purpose == PollPurpose::Probe;
-    if (!poll.routersOnly && !state.needsFullRecords)
-        poll.known = toWire(m_feed.knownOrders());
     const bool isSameZone = router.zone == m_settings.self.zone;
     const Duration defaultHold = isSameZone ? longPollTime() : kExchangeInterval;
     const Duration hold = purpose == PollPurpose::Follow ? defaultHold : Duration(0);
@@ -368,17 +406,17 @@
     call.progressTimeout = kProgressTimeout;
     const bool wantsAllTopics = !poll.routersOnly && !poll.noRecords;
     m_caller.start(std::move(call),
-                   [this, router, purpose, wantsAllTopics, sendsUnstored,
-                    sentNumber](const CallAnswer &answer) {
+                   [this, router, purpose, wantsAllTopics, records = std::move(records),
+                    sendsUnstored, sentNumber](const CallAnswer &answer) {
                        // Records of a poll that may be lost are sent again.
                        if (sendsUnstored && answer.status == 200)
                            m_routerStates[router.address].acknowledgedChange = sentNumber;
-                       onPollAnswer(router, purpose, wantsAllTopics, answer);
+                       onPollAnswer(router, purpose, wantsAllTopics ? &records : nullptr, answer);
                    });
 }
 
-void FleetSync::onPollAnswer(const RouterInfo &router, PollPurpose purpose, bool hadAllTopics,
-                             const CallAnswer &answer)
+void FleetSync::onPollAnswer(const RouterInfo &router, PollPurpose purpose,
+                             const RecordPoll *allTopicsPoll, const CallAnswer &answer)
 {
     const TimePoint now = m_clock();
     m_routerStates[router.address].isPolling = false;
@@ -391,7 +429,7 @@
         m_emptyAnswerBytes = static_cast<std::int64_t>(answer.body.size());
     if (updates) {
         if (purpose != PollPurpose::Probe)
-            applyRecords(router, hadAllTopics, *updates);
+            applyRecords(router, allTopicsPoll, *updates);
         if (!updates->leaving && updates->requestsTold)
             applyCounts(router, purpose, *updates, now);
     }
@@ -429,33 +467,35 @@
         updateUpstream(now);
 }
 
-void FleetSync::applyRecords(const RouterInfo &router, bool hadAllTopics,
+void FleetSync::applyRecords(const RouterInfo &router, const RecordPoll *allTopicsPoll,
                              wire::NewsAnswerT &updates)
 {
+    const TimePoint now = m_clock();
     RouterState &state = m_routerStates[router.address];
     if (state.routerTopic.source != updates.source)
         state.acknowledgedChange = 0; // After a restart the router has none of the earlier records.
     state.routerTopic = {updates.source, updates.number};
-    if (hadAllTopics)
-        state.allTopics = state.routerTopic;
-    bool changed = false;
-    state.needsFullRecords = hadAllTopics ? false : state.needsFullRecords;
+    ReceivedRecords received{updates.source, updates.number, fromWire(updates.known), {}, {}, true};
+    for (const auto &list : updates.lists)
+        received.lists.push_back(fromWire(*list, updates, now));
     for (const auto &wireRecord : updates.records) {
-        auto record = fromWire(*wireRecord, m_feed, m_clock());
+        auto record = fromWire(*wireRecord, m_feed, now);
         if (!record) {
-            state.allTopics = FeedPosition(); // The next answer has the records of all changes.
-            state.needsFullRecords = true;
+            received.isComplete = false;
             continue;
         }
         if (record->topic == kRouterTopic && record->value && record->key != m_settings.self.name) {
             if (const auto announced = decodeRouter(*record))
                 m_directory.add(*announced);
         }
-        changed = m_feed.put(std::move(*record)) || changed;
+        received.records.push_back(std::move(*record));
     }
-    if (hadAllTopics && !state.needsFullRecords) {
-        for (const auto &[topic, order] : fromWire(updates.known))
-            m_feed.setKnownUntil(topic, order);
+    bool changed = false;
+    if (allTopicsPoll) {
+        changed = state.allTopics.apply(m_feed, *allTopicsPoll, std::move(received));
+    } else {
+        for (FeedRecord &record : received.records)
+            changed = m_feed.put(std::move(record)) || changed;
     }
     if (!changed)
         return;
@@ -606,10 +646,17 @@
 
 void FleetSync::addRecords(wire::NewsAnswerT &updates, const wire::NewsAskT &poll)
 {
-    const std::uint64_t since = poll.source == m_startId ? poll.since : 0;
-    if (!poll.routersOnly)
+    const RecordPoll records{poll.source, poll.since, fromWire(poll.known)};
+    const RecordAnswer answer = answerRecordPoll(m_feed, records, m_startId);
+    if (!poll.routersOnly) {
         updates.known = toWire(m_feed.knownOrders());
-    for (const FeedChange &change : m_feed.deltasSince(since, fromWire(poll.known))) {
+        for (const CompleteList &list : answer.lists) {
+            const bool hasAllRecords = (poll.source != m_startId || poll.since == 0)
+                && (!records.known.contains(list.topic) || records.known.at(list.topic) == 0);
+            updates.lists.push_back(toWire(list, hasAllRecords, m_clock()));
+        }
+    }
+    for (const FeedChange &change : answer.changes) {
         if (change.record->topic == kRouterTopic) {
             const auto router = change.record->value ? decodeRouter(*change.record) : std::nullopt;
             if (router && router->zone.value() != poll.zone
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -14,6 +14,7 @@
 
 #include "generated/routernews.generated.h"
 #include "routers/loaddigest.h"
+#include "routers/recordexchange.h"
 #include "routers/recordfeed.h"
 #include "routers/routerdirectory.h"
 #include "telemetry/eventlog.h"
@@ -134,11 +135,12 @@
                            PollPurpose purpose, TimePoint now) const;
 
     void sendPoll(const RouterInfo &router, PollPurpose purpose, TimePoint now);
-    /// `hadAllTopics` means that the poll requested the records of all topics.
-    void onPollAnswer(const RouterInfo &router, PollPurpose purpose, bool hadAllTopics,
-                      const CallAnswer &answer);
+    /// `allTopicsPoll` is what the poll said if it requested the records of all topics, else null.
+    void onPollAnswer(const RouterInfo &router, PollPurpose purpose,
+                      const RecordPoll *allTopicsPoll, const CallAnswer &answer);
     /// Stores the records of an answer in the feed, and up to where the router's changes are known.
-    void applyRecords(const RouterInfo &router, bool hadAllTopics, wire::NewsAnswerT &updates);
+    void applyRecords(const RouterInfo &router, const RecordPoll *allTopicsPoll,
+                      wire::NewsAnswerT &updates);
     void applyUnstoredRecords(wire::NewsAskT &poll);
     void applyCounts(const RouterInfo &router, PollPurpose purpose,
                      const wire::NewsAnswerT &updates, TimePoint now);
@@ -172,13 +174,11 @@
     /// Progress of the exchange with another router.
     struct RouterState
     {
-        FeedPosition allTopics;   ///< Position in the records of all topics.
+        RecordPosition allTopics; ///< Position in the records of all topics.
         FeedPosition routerTopic; ///< Position in the records of routers.
         std::uint64_t acknowledgedChange =
             0;                  ///< This router's last change that the other one surely received.
         bool isPolling = false; ///< A poll is unanswered.
-        bool needsFullRecords =
-            false; ///< A delta could not be applied, so the next poll requests whole records.
     };
 
     /// Records of topics that are not in the store, changed after the change `since`.
--- a/src/routers/recordfeed.h
+++ b/src/routers/recordfeed.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,6 +29,29 @@
 /// By topic, the order below which every change is known, or a newer change of the same key.
 using KnownOrders = std::map<std::string, std::uint64_t>;
 
+/// States which keys of a topic exist. A key that is not among `keys` does not exist as of `end`:
+/// its records below `end` are superseded, though the record of its removal may be unknown.
+struct CompleteList
+{
+    std::string topic;
+    std::set<std::string> keys;
+    std::uint64_t end = 0; ///< Every change below it is reflected.
+    /// The list should reflect the changes below it, but is possibly older. Missing keys of
+    /// [end, claimedEnd) are removed in doubt; with 0 they stay.
+    std::uint64_t claimedEnd = 0;
+    /// The records of removals below it may be unknown to the router that states the list.
+    std::uint64_t removalsFrom = 0;
+    /// When the store was read, by this router's clock.
+    TimePoint readAt = TimePoint::min();
+};
+
+/// Who states a record.
+struct RecordSource
+{
+    bool isStore = false;
+    std::uint64_t known = 0; ///< The stating router knows all changes of the topic below it.
+};
+
 /// A changed record and, for receivers that have the previous one, the delta to it.
 struct FeedChange
 {
@@ -40,14 +64,13 @@
 class RecordFeed
 {
 public:
-    /// Stores the record as a new change. False if the key already has a record of the same or a
-    /// higher order.
-    bool put(FeedRecord record);
-    /// Removes the keys of `topic` that are missing from `listed`, a complete list of its keys.
-    /// Keys newer than the list stay. `end` is one more than the order of the newest record that
-    /// the list may hold; with 0 nothing is removed.
-    void removeMissing(const std::string &topic, const std::vector<std::string> &listed,
-                       std::uint64_t end, TimePoint now);
+    /// Stores the record as a new change. False if it is not newer than what is known: the key
+    /// already has a record of the same or a higher order, or all changes of that order are known.
+    /// A removal in doubt is revoked by the store, and by a router that knows more than the list
+    /// that lacked the key.
+    bool put(FeedRecord record, RecordSource source = {});
+    /// Removes the keys that the list lacks. Keys that may be newer than the list stay.
+    void applyList(const CompleteList &list);
 
     /// Drops the records of `topic` whose order is below `order`. This is no change: followers are
     /// not notified.
@@ -61,11 +84,23 @@
     /// all changes below that order. Long values are given as deltas if the router has the previous
     /// value.
     std::vector<FeedChange> deltasSince(std::uint64_t number, const KnownOrders &known = {});
-    /// States that this router has all changes of the topic below `order`.
-    void setKnownUntil(const std::string &topic, std::uint64_t order);
+    /// The lists of keys that such a router needs with these changes, since it knows less than
+    /// the records of removals that this router has.
+    std::vector<CompleteList> listsSince(std::uint64_t number, const KnownOrders &known) const;
+    /// States that this router has all changes of the topic below `order`. While removals are in
+    /// doubt, only what lies below them becomes known.
+    void raiseKnown(const std::string &topic, std::uint64_t order);
+    /// Makes removals certain that are in doubt, if all changes below `order` show no such key.
+    void settleDoubts(const std::string &topic, std::uint64_t order);
+    /// Forgets what is known of the topic but for its records, after the store has lost records.
+    void forgetKnown(const std::string &topic);
+    /// True if a removal of the topic is in doubt that `order` would settle.
+    bool hasDoubtsBelow(const std::string &topic, std::uint64_t order) const;
+    /// True if a removal of the topic is in doubt.
+    bool hasDoubts(const std::string &topic) const;
     /// The order below which all changes of the topic are known; 0 if none was set.
     std::uint64_t knownUntil(const std::string &topic) const;
-    const KnownOrders &knownOrders() const { return m_known; }
+    KnownOrders knownOrders() const;
     /// One more than the highest order of a record in the topic; 0 if it has no record.
     std::uint64_t nextOrder(const std::string &topic) const;
     /// The newest record of the key, also if it was removed; null if there is none.
@@ -81,15 +116,39 @@
         std::uint64_t previousOrder = 0;
         std::uint64_t previousNumber = 0;
         std::string delta; ///< From previousValue to the value; made on first use.
+        /// Of a removal in doubt: the end that the list claimed which lacks the key; else 0. Such
+        /// an entry has no value and keeps the order of the record that it removed.
+        std::uint64_t doubtEnd = 0;
+    };
+
+    /// What is known of a topic as a whole.
+    struct TopicState
+    {
+        /// The entries reflect every change below it: a key without an entry did not exist at it.
+        /// Never above the order of a removal in doubt.
+        std::uint64_t known = 0;
+        /// Removals of [removalsFrom, known) are all there as records. Of those below, some were
+        /// inferred or never seen, so a router that knows less needs the list of keys.
+        std::uint64_t removalsFrom = 0;
+        /// Highest end that applied lists claimed.
+        std::uint64_t claimedEnd = 0;
+        std::uint64_t listNumber = 0; ///< Number of the last list that said anything new.
+        TimePoint listedAt = TimePoint::min();
     };
 
     static constexpr std::size_t kMinDeltaValueBytes = 4096; ///< Shorter values are sent whole.
 
     using Key = std::pair<std::string, std::string>;
 
+    /// Removes the value of an entry as a change of its own.
+    void infer(Entry &entry, std::uint64_t order, std::uint64_t doubtEnd, TimePoint readAt);
+    /// Lowest order of a removal in doubt; none if there is no doubt.
+    std::optional<std::uint64_t> lowestDoubt(const std::string &topic) const;
+
     std::map<Key, Entry> m_entries;
     std::map<std::uint64_t, Entry *> m_byNumber; ///< Entries by the number of their last change.
-    KnownOrders m_known;
+    std::set<Key> m_doubts;                      ///< Keys of the entries whose removal is in doubt.
+    std::map<std::string, TopicState> m_topics;
     std::uint64_t m_number = 0;
 };
 
--- /dev/null
+++ b/src/routers/topicreader.cpp
@@ -0,0 +1,135 @@
+// Joins lists of the newest records with reads of the log.
+#include "routers/topicreader.h"
+
+#include <algorithm>
+
+namespace comfrey {
+
+namespace {
+
+constexpr Duration kRecheckInterval =
+    milliseconds(1500); // the store lists new records late for seconds after a gap
+constexpr Duration kRecheckDuration = milliseconds(9000); // longer than the store's observed lag
+/// Age at which a list is taken to reflect an offset. With it a removed key is out of use within
+/// the shortest stable_window_ms; a key that the list showed later still is put back.
+constexpr Duration kClaimAge = milliseconds(1000);
+
+} // namespace
+
+TopicReader::Step TopicReader::activate(TimePoint now)
+{
+    startList(now);
+    // Records received from other routers count like those read here. While removals are in doubt
+    // less may be known than was read here.
+    const std::uint64_t known = m_feed.knownUntil(m_topic);
+    if (known > m_nextOffset || m_feed.hasDoubts(m_topic))
+        m_nextOffset = known;
+    m_hasList = m_hasList || m_nextOffset > 0;
+    return m_hasList ? Step::Log : Step::List;
+}
+
+void TopicReader::startList(TimePoint now)
+{
+    m_listStartedAt = now;
+    m_knownAtListStart = m_feed.knownUntil(m_topic);
+    m_listedRecords.clear();
+    m_listEnd = 0;
+    m_lastListedKey.clear();
+    m_pageCount = 0;
+}
+
+bool TopicReader::addPage(std::vector<FeedRecord> records, bool hasMore, TimePoint now)
+{
+    if (++m_pageCount == 1) {
+        for (const FeedRecord &record : records)
+            m_listEnd = std::max(m_listEnd, record.order + 1);
+    }
+    const std::string lastKey = records.empty() ? std::string() : records.back().key;
+    m_listedRecords.insert(m_listedRecords.end(), std::make_move_iterator(records.begin()),
+                           std::make_move_iterator(records.end()));
+    if (hasMore && !lastKey.empty()) {
+        m_lastListedKey = lastKey;
+        return false;
+    }
+    finishList(now);
+    return true;
+}
+
+void TopicReader::finishList(TimePoint now)
+{
+    m_nextOffset = std::max({m_listEnd, m_firstKept, m_knownAtListStart});
+    m_hasList = true;
+    CompleteList list{m_topic, {}, m_listEnd, 0, m_nextOffset, now};
+    for (FeedRecord &record : m_listedRecords) {
+        if (record.value)
+            list.keys.insert(record.key);
+        m_feed.put(std::move(record), {true});
+    }
+    m_listedRecords.clear();
+    if (!isRechecking()) {
+        list.end = m_nextOffset; // The list is certain, and the log goes on there.
+    } else if (m_listStartedAt - m_claimedAt >= kClaimAge) {
+        list.claimedEnd = m_claimedEnd;
+        m_claimedEnd = m_nextOffset;
+        m_claimedAt = now;
+    }
+    m_feed.applyList(list);
+    m_feed.raiseKnown(m_topic, list.end);
+    updateKnown(now);
+}
+
+TopicReader::LogState TopicReader::addLog(std::uint64_t end, std::uint64_t firstKept,
+                                          std::vector<FeedRecord> records, TimePoint now)
+{
+    const bool hasLostRecords = end < m_nextOffset;
+    if (hasLostRecords)
+        m_feed.forgetKnown(m_topic);
+    if (hasLostRecords || firstKept > m_nextOffset || (records.empty() && end > m_nextOffset)) {
+        onDropped(firstKept, now);
+        return LogState::Gap;
+    }
+    for (FeedRecord &record : records) {
+        record.order = m_nextOffset++;
+        record.readAt = now;
+        m_feed.put(std::move(record), {true});
+    }
+    updateKnown(now);
+    return LogState::Continuous;
+}
+
+void TopicReader::onDropped(std::uint64_t firstKept, TimePoint now)
+{
+    m_firstKept = firstKept;
+    beginRechecks(firstKept, now);
+    startList(now);
+}
+
+void TopicReader::beginRechecks(std::uint64_t claimedEnd, TimePoint now)
+{
+    m_claimedEnd = claimedEnd;
+    m_claimedAt = now;
+    m_recheckUntil = now + kRecheckDuration;
+    m_recheckAt = now + kClaimAge;
+}
+
+TopicReader::Step TopicReader::nextStep(TimePoint now)
+{
+    if (now < m_recheckAt)
+        return Step::Log;
+    m_recheckAt = now < m_recheckUntil ? now + kRecheckInterval : kNever;
+    startList(now);
+    return Step::List;
+}
+
+void TopicReader::updateKnown(TimePoint now)
+{
+    if (isRechecking())
+        return;
+    // Another router's list may have lacked a key, so this router lists as well.
+    if (m_feed.hasDoubts(m_topic))
+        beginRechecks(m_nextOffset, now);
+    else
+        m_feed.raiseKnown(m_topic, m_nextOffset);
+}
+
+} // namespace comfrey
--- a/tests/routerupdatestest.cpp
+++ b/tests/routerupdatestest.cpp
@@ -67,7 +67,7 @@
         feed.put({"t", "listed", "1", 3});
         feed.put({"t", "gone", "2", 4});
         feed.put({"t", "newer", "3", 9});
-        feed.removeMissing("t", {"listed"}, 8, TimePoint());
+        feed.applyList({"t", {"listed"}, 8, 0, 8, TimePoint()});
         CPPUNIT_ASSERT(feed.find("t", "listed")->value);
         CPPUNIT_ASSERT(!feed.find("t", "gone")->value);
         CPPUNIT_ASSERT(feed.find("t", "newer")->value);
--- a/tests/traffic/storetest.cpp
+++ b/tests/traffic/storetest.cpp
@@ -235,7 +235,7 @@
     {
         m_store.history = {{"a", "1"}, {"a", "2"}, {"a", "3"}};
         m_feed.put({"keyed.t", "a", "2", 1});
-        m_feed.setKnownUntil("keyed.t", 2);
+        m_feed.raiseKnown("keyed.t", 2);
         auto follower = followStore();
         CPPUNIT_ASSERT(runUntil(m_loop, [&] { return m_feed.find("keyed.t", "a")->value == "3"; }));
         CPPUNIT_ASSERT_EQUAL(0, m_store.newestCalls);
