--- a/tests/support/placementsimulation.cpp
+++ b/tests/support/placementsimulation.cpp
@@ -77,7 +77,12 @@
     return now - start() >= m_load.hotFromOffset && now - start() < m_load.hotUntilOffset;
 }
 
-PlacementResult PlacementSimulation::run()
+bool PlacementSimulation::isWarmedUp(TimePoint now) const
+{
+    return now - start() >= kWarmUp;
+}
+
+void PlacementSimulation::runSteps()
 {
     for (std::size_t kind = 0; kind < m_load.kinds.size(); ++kind)
         schedule(start(), [this, kind](TimePoint at) { onArrival(kind, at); });
@@ -93,6 +98,11 @@
                      [this, router](TimePoint at) { pollFleetLeader(router, at); });
     }
     m_steps.runAll();
+}
+
+PlacementResult PlacementSimulation::run()
+{
+    runSteps();
     PlacementResult result;
     result.sent = m_sent.size();
     std::size_t overloaded = 0;
@@ -266,7 +276,7 @@
     leader.promptDigest.setRouter(name, router.localPrompts, now);
     leader.remotePrompts = leader.promptDigest.remoteTotal(now);
     applyRemoteRequests(leader, now);
-    if (now - start() < m_load.duration)
+    if (now - start() < m_load.duration + m_load.pollsAfterLoad)
         schedule(now + m_load.zonePollTime,
                  [this, index](TimePoint at) { pollZoneLeader(index, at); });
 }
@@ -292,7 +302,7 @@
                                 now);
     leader.remotePrompts = leader.promptDigest.remoteTotal(now);
     applyRemoteRequests(leader, now);
-    if (now - start() < m_load.duration)
+    if (now - start() < m_load.duration + m_load.pollsAfterLoad)
         schedule(now + m_load.crossZonePollTime,
                  [this, index](TimePoint at) { pollFleetLeader(index, at); });
 }
--- a/tests/support/placementsimulation.h
+++ b/tests/support/placementsimulation.h
@@ -55,8 +55,9 @@
     Duration zonePollTime =
         milliseconds(590); ///< Of a router's long poll at the leader of its zone.
     Duration crossZonePollTime =
-        milliseconds(300);     ///< Of a zone leader's long poll at the leader of the fleet.
-    double evacuatedShare = 0; ///< Share of the engines that get no new work after evacuatedFrom.
+        milliseconds(300);      ///< Of a zone leader's long poll at the leader of the fleet.
+    Duration pollsAfterLoad{0}; ///< Routers poll for so long after `duration`.
+    double evacuatedShare = 0;  ///< Share of the engines that get no new work after evacuatedFrom.
     Duration evacuatedFrom = milliseconds(6000);
     bool promptCountsAreShared = true; ///< Routers exchange the request counts of prompts.
     std::uint64_t seed = 1;
@@ -79,10 +80,11 @@
 {
 public:
     PlacementSimulation(const PlacementLoad &load, const ReplicaChooser &chooser);
+    virtual ~PlacementSimulation() = default;
     /// Runs until the last chat has ended. Call once.
     PlacementResult run();
 
-private:
+protected:
     struct Router
     {
         std::vector<std::shared_ptr<Replica>> replicas;
@@ -115,8 +117,11 @@
     {
         m_steps.schedule(at, std::move(step));
     }
+    /// Runs all arrivals and the exchange between routers until the last step.
+    void runSteps();
     void onArrival(std::size_t kind, TimePoint now);
-    void sendChat(Chat chat, TimePoint now);
+    /// Sends a chat that arrived at its router.
+    virtual void sendChat(Chat chat, TimePoint now);
     void startChat(std::size_t chat, TimePoint now);
     void finishChat(std::size_t chat, TimePoint now);
     void pollZoneLeader(std::size_t router, TimePoint now);
@@ -125,6 +130,7 @@
     std::uint32_t fleetPromptRequests(Router &router, std::uint32_t prompt);
     ServerRequests localRequests(const Router &router) const;
     bool isHot(TimePoint now) const;
+    bool isWarmedUp(TimePoint now) const;
 
     const PlacementLoad m_load;
     const ReplicaChooser &m_chooser;
