Crash attribution: a test for the tie between a request and its parts

With kRequestDepth 0 in src/quarantine/crashattribution.cpp no test failed. The new one does (mutation, played on a build of the two files with their tests):

crashattributiontest.cpp:165:Assertion Test name: CrashAttributionTest::wholeRequestIsMoreSpecificThanAnyOfItsParts - Expression: m_attribution.update(crashedAt).empty() Run: 31 Failure total: 1

Unchanged: 31 of 31 pass.

--- a/tests/crashattributiontest.cpp
+++ b/tests/crashattributiontest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(answerBegunBeforeTheCrashForgivesNothing);
     CPPUNIT_TEST(twoPartsThatCrashServersAreBothRefused);
     CPPUNIT_TEST(repeatedRequestIsNotBlamedOnItsParts);
+    CPPUNIT_TEST(wholeRequestIsMoreSpecificThanAnyOfItsParts);
     CPPUNIT_TEST(onlyTheReporterOfTheLastCrashProbesARefusedPart);
     CPPUNIT_TEST(refusalGrowsWithTheTimeOverWhichThePartCrashedServers);
     CPPUNIT_TEST(requestWithTwoRefusedPartsIsNoProbe);
@@ -148,6 +149,27 @@
         CPPUNIT_ASSERT(!isRefused(kSecond, 1000));
     }
 
+    /// At any position and with any id of the parts.
+    void wholeRequestIsMoreSpecificThanAnyOfItsParts()
+    {
+        const Fingerprint request(77);
+        const PromptPartId lowId(2);
+        const PromptPartId highId(1000);
+        for (std::int64_t index = 0; index < 3; ++index) {
+            const TimePoint crashedAt = at(100 + 200 * index);
+            CrashCandidate candidate{request,
+                                     {{highId, false}, {lowId, false}, {kDeadly, false}},
+                                     crashedAt - milliseconds(50)};
+            m_attribution.recordCrash(
+                {"e" + std::to_string(index), "r1", crashedAt, {std::move(candidate)}});
+            CPPUNIT_ASSERT(m_attribution.update(crashedAt).empty());
+        }
+        for (const PromptPartId part : {lowId, highId, kDeadly})
+            CPPUNIT_ASSERT(!isRefused(part, 1000));
+        // Else the request itself would no longer count as a suspect.
+        CPPUNIT_ASSERT(m_attribution.explainedCrashes().empty());
+    }
+
     void onlyTheReporterOfTheLastCrashProbesARefusedPart()
     {
         CrashAttribution other("r2");
