--- a/src/routers/topicreader.cpp
+++ b/src/routers/topicreader.cpp
@@ -33,17 +33,21 @@
     m_listStartedAt = now;
     m_knownAtListStart = m_feed.knownUntil(m_topic);
     m_listedRecords.clear();
-    m_listEnd = 0;
+    m_firstPageEnd = 0;
+    m_lowestPageEnd = 0;
     m_lastListedKey.clear();
     m_pageCount = 0;
 }
 
 bool TopicReader::addPage(std::vector<FeedRecord> records, bool hasMore, TimePoint now)
 {
-    if (++m_pageCount == 1) {
-        for (const FeedRecord &record : records)
-            m_listEnd = std::max(m_listEnd, record.order + 1);
-    }
+    std::uint64_t pageEnd = 0;
+    for (const FeedRecord &record : records)
+        pageEnd = std::max(pageEnd, record.order + 1);
+    if (++m_pageCount == 1)
+        m_firstPageEnd = m_lowestPageEnd = pageEnd;
+    else if (!records.empty())
+        m_lowestPageEnd = std::min(m_lowestPageEnd, pageEnd);
     const std::string lastKey = records.empty() ? std::string() : records.back().key;
     m_listedRecords.insert(m_listedRecords.end(), std::make_move_iterator(records.begin()),
                            std::make_move_iterator(records.end()));
@@ -57,9 +61,9 @@
 
 void TopicReader::finishList(TimePoint now)
 {
-    m_nextOffset = std::max({m_listEnd, m_firstKept, m_knownAtListStart});
+    m_nextOffset = std::max({m_firstPageEnd, m_firstKept, m_knownAtListStart});
     m_hasList = true;
-    CompleteList list{m_topic, {}, m_listEnd, 0, m_nextOffset, now};
+    CompleteList list{m_topic, {}, m_lowestPageEnd, 0, m_nextOffset, now};
     for (FeedRecord &record : m_listedRecords) {
         if (record.value)
             list.keys.insert(record.key);
--- a/src/routers/topicreader.h
+++ b/src/routers/topicreader.h
@@ -12,7 +12,8 @@
 namespace comfrey {
 
 /// Reading position in a topic, and the list that is being read. A list may lag behind the log for
-/// seconds after the store dropped records, but no page shows an older state than one before it.
+/// seconds after the store dropped records that were not read. The pages of another list are in
+/// order: none shows an older state than the first one.
 class TopicReader
 {
 public:
@@ -59,12 +60,15 @@
     TimePoint m_listStartedAt = TimePoint::min();
     /// What was known when the list was started. What became known later may be newer than it.
     std::uint64_t m_knownAtListStart = 0;
-    /// Offset after the newest record of the first page. Every page reflects the changes below it;
-    /// a record of a later page is no such bound, since the first page may be older.
-    std::uint64_t m_listEnd = 0;
+    /// Offset after the newest record of the first page. In a store that answers in order every
+    /// page reflects the changes below it. A record of a later page is no such bound, since the
+    /// first page may be older.
+    std::uint64_t m_firstPageEnd = 0;
+    /// Lowest such offset of all pages, which holds even if a page lags behind the first one.
+    std::uint64_t m_lowestPageEnd = 0;
     std::uint64_t m_firstKept = 0; ///< Oldest offset in the log at the last gap.
     /// Offset of the next record to read. The list and the log reflect all changes below it, but
-    /// for those of [m_listEnd, m_firstKept) while the list may lag.
+    /// for those of [m_lowestPageEnd, m_firstKept) while the list may lag.
     std::uint64_t m_nextOffset = 0;
     /// After a gap the list is read again until then.
     TimePoint m_recheckUntil = TimePoint::min();
--- a/tests/routerupdatestest.cpp
+++ b/tests/routerupdatestest.cpp
@@ -6,8 +6,10 @@
 #include <random>
 
 #include "routers/loaddigest.h"
+#include "routers/recordexchange.h"
 #include "routers/recordfeed.h"
 #include "routers/routerdirectory.h"
+#include "routers/topicreader.h"
 #include "routers/valuedelta.h"
 
 using namespace comfrey;
@@ -34,6 +36,12 @@
     CPPUNIT_TEST_SUITE(RouterUpdatesTest);
     CPPUNIT_TEST(recordWithAnOlderOrderIsIgnored);
     CPPUNIT_TEST(keyMissingFromAListIsRemovedUnlessNewer);
+    CPPUNIT_TEST(newestKeyMissingAfterAGapIsRemovedWithinTheStableWindow);
+    CPPUNIT_TEST(keyMissingAfterAGapIsRemovedAtFollowersThatKnowMore);
+    CPPUNIT_TEST(removalBeforeTheUpstreamsFirstListReachesFollowers);
+    CPPUNIT_TEST(removalInDoubtIsRevokedByALaterList);
+    CPPUNIT_TEST(recordBelowWhatIsKnownIsRefused);
+    CPPUNIT_TEST(listIsSentOnceToAFollower);
     CPPUNIT_TEST(changesSinceANumberAreListedOnceInOrder);
     CPPUNIT_TEST(deltaIsSentOnlyToAFollowerWithItsBase);
     CPPUNIT_TEST(deltaToABaseOfOrderZeroIsMarked);
@@ -73,6 +81,98 @@
         CPPUNIT_ASSERT(feed.find("t", "newer")->value);
     }
 
+    /// Review case 2: the records are deleted while the newest entry of the list is removed.
+    void newestKeyMissingAfterAGapIsRemovedWithinTheStableWindow()
+    {
+        RecordFeed feed;
+        TopicReader reader("t", feed);
+        readAll(reader, {{"t", "a", "1", 0}, {"t", "b", "1", 1}}, 2, at(0));
+        reader.onDropped(3, at(1000)); // Offset 2 was the removal of b.
+        reader.addPage({{"t", "a", "1", 0}}, false, at(1100));
+        CPPUNIT_ASSERT(feed.find("t", "b")->value); // The list may lag.
+        CPPUNIT_ASSERT(reader.nextStep(at(1900)) == TopicReader::Step::Log);
+        CPPUNIT_ASSERT(reader.nextStep(at(2000)) == TopicReader::Step::List);
+        reader.addPage({{"t", "a", "1", 0}}, false, at(2100));
+        CPPUNIT_ASSERT(!feed.find("t", "b")->value);
+        CPPUNIT_ASSERT(feed.find("t", "a")->value);
+    }
+
+    /// Review case 4: as case 2 with an older entry; the followers know more than the list tells.
+    void keyMissingAfterAGapIsRemovedAtFollowersThatKnowMore()
+    {
+        RecordFeed feed;
+        TopicReader reader("t", feed);
+        readAll(reader, {{"t", "a", "1", 0}, {"t", "b", "1", 1}}, 2, at(0));
+        RecordFeed follower;
+        RecordPosition position;
+        follow(follower, position, feed, 7);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), follower.knownUntil("t"));
+        reader.onDropped(3, at(1000)); // Offset 2 was the removal of a.
+        reader.addPage({{"t", "b", "1", 1}}, false, at(1100));
+        follow(follower, position, feed, 7);
+        CPPUNIT_ASSERT(!follower.find("t", "a")->value);
+        CPPUNIT_ASSERT(follower.find("t", "b")->value);
+    }
+
+    /// Review case 3: the upstream router lists after the removal and has no record of the key.
+    void removalBeforeTheUpstreamsFirstListReachesFollowers()
+    {
+        RecordFeed follower;
+        follower.put({"t", "a", "1", 0});
+        follower.put({"t", "b", "1", 1});
+        follower.raiseKnown("t", 2);
+        RecordFeed feed;
+        TopicReader reader("t", feed);
+        readAll(reader, {{"t", "b", "1", 1}, {"t", "c", "1", 3}}, 4, at(0));
+        RecordPosition position;
+        follow(follower, position, feed, 7);
+        CPPUNIT_ASSERT(!follower.find("t", "a")->value);
+        CPPUNIT_ASSERT(follower.find("t", "b")->value && follower.find("t", "c")->value);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), follower.knownUntil("t"));
+    }
+
+    void removalInDoubtIsRevokedByALaterList()
+    {
+        RecordFeed feed;
+        TopicReader reader("t", feed);
+        readAll(reader, {{"t", "a", "1", 0}, {"t", "b", "1", 1}}, 2, at(0));
+        RecordFeed follower;
+        RecordPosition position;
+        follow(follower, position, feed, 7);
+        reader.onDropped(3, at(1000)); // Offset 2 was of a key that is gone.
+        for (const std::int64_t time : {1100, 2100}) { // These lists lag.
+            reader.addPage({{"t", "a", "1", 0}}, false, at(time));
+            reader.nextStep(at(time + 1000));
+        }
+        follow(follower, position, feed, 7);
+        CPPUNIT_ASSERT(!feed.find("t", "b")->value && !follower.find("t", "b")->value);
+        reader.addPage({{"t", "a", "1", 0}, {"t", "b", "1", 1}}, false, at(4000));
+        CPPUNIT_ASSERT(feed.find("t", "b")->value);
+        CPPUNIT_ASSERT(reader.nextStep(at(12000)) == TopicReader::Step::List);
+        reader.addPage({{"t", "a", "1", 0}, {"t", "b", "1", 1}}, false, at(12000));
+        follow(follower, position, feed, 7); // The follower learns that more is known.
+        follow(follower, position, feed, 7);
+        CPPUNIT_ASSERT(follower.find("t", "b")->value);
+    }
+
+    void recordBelowWhatIsKnownIsRefused()
+    {
+        RecordFeed feed;
+        feed.raiseKnown("t", 5);
+        CPPUNIT_ASSERT(!feed.put({"t", "removed", "1", 4}));
+        CPPUNIT_ASSERT(feed.put({"t", "new", "1", 5}));
+    }
+
+    void listIsSentOnceToAFollower()
+    {
+        RecordFeed feed;
+        feed.applyList({"t", {}, 5, 0, 5, at(0)});
+        feed.raiseKnown("t", 5);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), feed.listsSince(0, {{"t", 4}}).size());
+        CPPUNIT_ASSERT(feed.listsSince(0, {{"t", 5}}).empty());
+        CPPUNIT_ASSERT(feed.listsSince(feed.number(), {{"t", 4}}).empty());
+    }
+
     void changesSinceANumberAreListedOnceInOrder()
     {
         RecordFeed feed;
@@ -271,6 +371,28 @@
     }
 
 private:
+    /// Reads the whole list, and the log up to `end`.
+    static void readAll(TopicReader &reader, std::vector<FeedRecord> records, std::uint64_t end,
+                        TimePoint now)
+    {
+        reader.activate(now);
+        reader.addPage(std::move(records), false, now);
+        reader.addLog(end, 0, {}, now);
+    }
+
+    /// Takes over the records of a router with this start id.
+    static void follow(RecordFeed &follower, RecordPosition &position, RecordFeed &upstream,
+                       std::uint64_t startId)
+    {
+        const RecordPoll poll = position.poll(follower);
+        const RecordAnswer answer = answerRecordPoll(upstream, poll, startId);
+        ReceivedRecords received{startId, upstream.number(), upstream.knownOrders(),
+                                 {},      answer.lists,      true};
+        for (const FeedChange &change : answer.changes)
+            received.records.push_back(*change.record);
+        position.apply(follower, poll, std::move(received));
+    }
+
     static RouterInfo routerInZone(const std::string &name, const std::string &zone,
                                    std::uint8_t capacityTier)
     {
--- a/tests/traffic/fleetsynctest.cpp
+++ b/tests/traffic/fleetsynctest.cpp
@@ -21,6 +21,7 @@
 {
     CPPUNIT_TEST_SUITE(FleetSyncTest);
     CPPUNIT_TEST(leaderReadsTheStoreAndFollowersReceiveItsRecords);
+    CPPUNIT_TEST(keysThatAListLacksAreRemovedAtFollowers);
     CPPUNIT_TEST(nextRouterReadsTheStoreWhenTheLeaderStops);
     CPPUNIT_TEST(routersReceiveEachOthersRequestCounts);
     CPPUNIT_TEST(recordsThatArriveWhileTheLeaderIsOnlyCheckedAreNotLost);
@@ -56,6 +57,31 @@
             CPPUNIT_ASSERT(router->feed.find("keyed.t", "a")->value->ends_with("}2"));
     }
 
+    /// The leader's list lacks a key, and the followers said that they know more than its newest
+    /// record (review case 4); one has a key that the leader never had (review case 3).
+    void keysThatAListLacksAreRemovedAtFollowers()
+    {
+        startRouters();
+        RecordFeed &feed = leader().feed;
+        feed.put({"keyed.t", "a", "1", 0});
+        feed.put({"keyed.t", "b", "1", 1});
+        feed.applyList({"keyed.t", {"a", "b"}, 2, 0, 2, now()});
+        feed.raiseKnown("keyed.t", 2);
+        leader().sync().publish();
+        CPPUNIT_ASSERT(runRouters([&] { return allRoutersHave(2); }));
+        m_routers[0]->feed.put({"keyed.t", "c", "1", 2});
+        feed.applyList({"keyed.t", {"b"}, 2, 0, 4, now()});
+        feed.raiseKnown("keyed.t", 4);
+        leader().sync().publish();
+        CPPUNIT_ASSERT(runRouters([&] {
+            return std::all_of(m_routers.begin(), m_routers.end(), [](const auto &router) {
+                const FeedRecord *c = router->feed.find("keyed.t", "c");
+                return !router->feed.find("keyed.t", "a")->value
+                    && router->feed.find("keyed.t", "b")->value && (!c || !c->value);
+            });
+        }));
+    }
+
     void nextRouterReadsTheStoreWhenTheLeaderStops()
     {
         startRouters();
--- a/tests/traffic/storetest.cpp
+++ b/tests/traffic/storetest.cpp
@@ -128,6 +128,7 @@
     CPPUNIT_TEST(keyRemovedBetweenTwoPagesIsRemoved);
     CPPUNIT_TEST(refusedPageIsRetriedWithoutEarlierPages);
     CPPUNIT_TEST(truncatedHistoryIsReplacedByNewestRecords);
+    CPPUNIT_TEST(newestKeyRemovedWithinAGapIsRemoved);
     CPPUNIT_TEST(silentReadIsReissuedAfterAnotherReadFailed);
     CPPUNIT_TEST(followerContinuesAfterRecordsFromOtherRouters);
     CPPUNIT_TEST(recordsMissingFromOtherRoutersAreRead);
@@ -214,6 +215,21 @@
         CPPUNIT_ASSERT(!m_feed.find("keyed.t", "a")->value);
     }
 
+    /// The records are deleted with the removal of the list's newest key (review case 2).
+    void newestKeyRemovedWithinAGapIsRemoved()
+    {
+        m_store.history = {{"a", "1"}, {"b", "1"}};
+        m_store.newestItems = R"({"key":"a","value":"MQ==","offset":0},)"
+                              R"({"key":"b","value":"MQ==","offset":1})";
+        auto follower = followStore();
+        CPPUNIT_ASSERT(runUntil(m_loop, [&] { return m_feed.knownUntil("keyed.t") == 2; }));
+        m_store.firstKept = 3;
+        m_store.history.clear();
+        m_store.newestItems = R"({"key":"a","value":"MQ==","offset":0})";
+        CPPUNIT_ASSERT(runUntil(m_loop, [&] { return !m_feed.find("keyed.t", "b")->value; }));
+        CPPUNIT_ASSERT(m_feed.find("keyed.t", "a")->value);
+    }
+
     /// A long poll that lasted through a silent outage delayed a configuration. Seen in the
     /// benchmark kynd-ryhm trouble-3.
     void silentReadIsReissuedAfterAnotherReadFailed()
