Crash guard: attempts whose caller left count if the server ends meanwhile

An abandoned attempt stays unresolved until the time that the server was given has passed, past later answers. As nobody reads its connection, the server is checked 0.3 s after the caller left and after doubled times, two checks a tick at most; none if it answered meanwhile or an idle connection to it is open. Brief attempts are weaker evidence: a removed record counts only 2 s after the sending, prompt parts only within 1 s and by a closed port, and they take half of the table at most.

--- a/src/dispatch/crashguard.cpp
+++ b/src/dispatch/crashguard.cpp
@@ -6,6 +6,18 @@
 
 namespace comfrey {
 
+namespace {
+
+/// An abandoned attempt that lasted so long is as strong evidence as one that broke.
+constexpr Duration kBriefAttempt = milliseconds(1000);
+
+bool isBrief(const UnansweredAttempt &attempt, TimePoint endedAt)
+{
+    return attempt.isAbandoned() && endedAt - attempt.sentAt < kBriefAttempt;
+}
+
+} // namespace
+
 std::string_view nameOf(TerminationEvidence evidence)
 {
     switch (evidence) {
@@ -24,18 +36,35 @@
 void CrashGuard::onAttemptUnanswered(UnansweredAttempt attempt, const std::string &incarnation,
                                      TimePoint now)
 {
+    UnresolvedAttempt unresolved{std::move(attempt), now};
     if (const auto termination = m_terminations.find(incarnation);
         termination != m_terminations.end()) {
-        confirmCrash(std::move(attempt), incarnation, termination->second.evidence, Duration(0),
-                     now);
+        if (mayHaveCrashed(unresolved, termination->second.evidence,
+                           termination->second.detectedAt))
+            confirmCrash(std::move(unresolved.attempt), incarnation, termination->second.evidence,
+                         Duration(0), now);
         return;
     }
-    if (m_unresolvedAttemptCount >= kMaxUnresolvedAttempts)
+    const bool isAbandoned = unresolved.attempt.isAbandoned();
+    if (m_unresolvedAttemptCount >= kMaxUnresolvedAttempts
+        || (isAbandoned && m_abandonedAttemptCount >= kMaxAbandonedAttempts))
         return;
-    m_unresolvedAttempts[incarnation].push_back({std::move(attempt), now});
+    if (isAbandoned) {
+        unresolved.scheduleCheck(now, kFirstCheckDelay);
+        ++m_abandonedAttemptCount;
+    }
+    m_unresolvedAttempts[incarnation].push_back(std::move(unresolved));
     ++m_unresolvedAttemptCount;
 }
 
+void CrashGuard::UnresolvedAttempt::scheduleCheck(TimePoint from, Duration delay)
+{
+    checkDelay = delay;
+    // The check at the end comes after it, so that it finds a server that ended just then.
+    const TimePoint last = resolvedAt() + kFirstCheckDelay;
+    nextCheckAt = from < last ? std::min(from + delay, last) : kNever;
+}
+
 void CrashGuard::onServerAnswered(const std::string &incarnation, TimePoint sentAt)
 {
     if (!m_terminations.empty())
@@ -45,14 +74,57 @@
     const auto found = m_unresolvedAttempts.find(incarnation);
     if (found == m_unresolvedAttempts.end())
         return;
-    m_unresolvedAttemptCount -=
-        std::erase_if(found->second, [sentAt](const UnresolvedAttempt &attempt) {
-            return attempt.endedAt <= sentAt;
-        });
+    eraseAttempts(found->second, [sentAt](const UnresolvedAttempt &unresolved) {
+        return unresolved.resolvedAt() <= sentAt;
+    });
+    for (UnresolvedAttempt &unresolved : found->second) {
+        if (unresolved.nextCheckAt != kNever && sentAt >= unresolved.endedAt)
+            unresolved.scheduleCheck(sentAt, unresolved.checkDelay);
+    }
     if (found->second.empty())
         m_unresolvedAttempts.erase(found);
 }
 
+void CrashGuard::eraseAttempts(std::vector<UnresolvedAttempt> &attempts,
+                               const std::function<bool(const UnresolvedAttempt &)> &isDue)
+{
+    m_unresolvedAttemptCount -= std::erase_if(attempts, [&](const UnresolvedAttempt &unresolved) {
+        if (!isDue(unresolved))
+            return false;
+        m_abandonedAttemptCount -= unresolved.attempt.isAbandoned() ? 1 : 0;
+        return true;
+    });
+}
+
+std::vector<std::string> CrashGuard::takeDueChecks(TimePoint now)
+{
+    std::vector<std::string> due;
+    if (m_abandonedAttemptCount == 0)
+        return due;
+    for (auto &[incarnation, attempts] : m_unresolvedAttempts) {
+        if (due.size() >= kMaxChecksPerTick)
+            break;
+        bool isDue = false;
+        for (UnresolvedAttempt &unresolved : attempts) {
+            if (unresolved.nextCheckAt > now)
+                continue;
+            unresolved.scheduleCheck(now, unresolved.checkDelay * 2);
+            isDue = true;
+        }
+        if (isDue)
+            due.push_back(incarnation);
+    }
+    return due;
+}
+
+bool CrashGuard::mayHaveCrashed(const UnresolvedAttempt &unresolved, TerminationEvidence evidence,
+                                TimePoint now)
+{
+    return !isBrief(unresolved.attempt, unresolved.endedAt)
+        || evidence != TerminationEvidence::RecordRemoved
+        || now - unresolved.attempt.sentAt >= kMinRemovalDelay;
+}
+
 void CrashGuard::onServerTerminated(const std::string &incarnation, TerminationEvidence evidence,
                                     TimePoint now)
 {
@@ -63,10 +135,18 @@
     const auto found = m_unresolvedAttempts.find(incarnation);
     if (found == m_unresolvedAttempts.end())
         return;
-    for (UnresolvedAttempt &unresolved : found->second)
+    const bool isPortClosed = evidence == TerminationEvidence::ConnectionRefused
+        || evidence == TerminationEvidence::AddressReused;
+    for (UnresolvedAttempt &unresolved : found->second) {
+        if (!mayHaveCrashed(unresolved, evidence, now))
+            continue;
+        if (isBrief(unresolved.attempt, unresolved.endedAt)
+            && (!isPortClosed || now - unresolved.endedAt > kAbandonedPartsWindow))
+            unresolved.attempt.suspectParts.clear();
         confirmCrash(std::move(unresolved.attempt), incarnation, evidence, now - unresolved.endedAt,
                      now);
-    m_unresolvedAttemptCount -= found->second.size();
+    }
+    eraseAttempts(found->second, [](const UnresolvedAttempt &) { return true; });
     m_unresolvedAttempts.erase(found);
 }
 
@@ -98,7 +178,7 @@
     SuspectRequest &suspect = m_suspects[request];
     if (!suspect.incarnations.insert(incarnation).second)
         return false;
-    suspect.lastCrashAt = now;
+    suspect.lastCrashAt = std::max(suspect.lastCrashAt, now);
     return true;
 }
 
@@ -136,10 +216,9 @@
 void CrashGuard::tick(TimePoint now)
 {
     for (auto entry = m_unresolvedAttempts.begin(); entry != m_unresolvedAttempts.end();) {
-        m_unresolvedAttemptCount -=
-            std::erase_if(entry->second, [now](const UnresolvedAttempt &attempt) {
-                return now - attempt.endedAt > kUnresolvedAttemptTimeout;
-            });
+        eraseAttempts(entry->second, [now](const UnresolvedAttempt &unresolved) {
+            return now - unresolved.endedAt > kUnresolvedAttemptTimeout;
+        });
         entry = entry->second.empty() ? m_unresolvedAttempts.erase(entry) : std::next(entry);
     }
     std::erase_if(m_terminations, [now](const auto &entry) {
--- a/src/dispatch/crashguard.h
+++ b/src/dispatch/crashguard.h
@@ -7,9 +7,15 @@
 // the server answers a request that was sent later, or until the attempt is too old to judge. The
 // list of servers may show the termination of a silent server before its caller gives up, so
 // terminations are remembered for as long as callers wait.
+//
+// A server may go on with a request whose caller has left. Such an attempt stays unresolved past
+// later answers of the server, until the time that the request was given has passed. As nobody
+// reads its connection, checks of the server are due meanwhile.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -41,6 +47,10 @@
     /// its start.
     std::vector<PromptPartId> suspectParts;
     TimePoint sentAt;
+    /// If the caller left: end of the time that the server was given. Else TimePoint::min().
+    TimePoint mayRunUntil = TimePoint::min();
+
+    bool isAbandoned() const { return mayRunUntil != TimePoint::min(); }
 };
 
 /// A crash that this router attributes to a request, or the request's successful run.
@@ -78,8 +88,8 @@
     /// Returns and clears the findings since the last call, which the other routers need.
     std::vector<CrashFinding> takeFindings() { return std::exchange(m_findings, {}); }
 
-    /// Records a crash found by this or another router. Returns false if it was already known or
-    /// the table of suspects is full.
+    /// Records a crash that this or another router found at `now`. Returns false if it was already
+    /// known or the table of suspects is full.
     bool recordCrash(Fingerprint request, const std::string &incarnation, TimePoint now);
     /// Sets the incarnations of the servers that crashed for another known reason than the whole
     /// request: they do not count against requests.
@@ -91,12 +101,18 @@
     Duration remainingRefusal(Fingerprint request, TimePoint now) const;
     /// Number of known server incarnations that terminated while they ran the request.
     std::size_t crashCount(Fingerprint request) const;
+    /// Incarnations of servers that may run abandoned requests and are to be checked now, at most
+    /// kMaxChecksPerTick. A server that answers meanwhile needs none.
+    std::vector<std::string> takeDueChecks(TimePoint now);
     /// Drops attempts, terminations and suspects that are too old.
     void tick(TimePoint now);
 
     /// How long a suspect request is remembered after its last crash.
     static constexpr Duration kCrashRetention =
         milliseconds(600000); // longer than the longest refusal
+    static constexpr std::size_t kMaxChecksPerTick = 2;
+    /// From the caller's leave to the first check; doubled for each further one.
+    static constexpr Duration kFirstCheckDelay = milliseconds(300);
 
 private:
     static constexpr std::size_t kCrashesBeforeRefusal =
@@ -113,6 +129,14 @@
     static constexpr Duration kTerminationRetention = milliseconds(16000);
     /// Bounds memory; a router has fewer requests in progress.
     static constexpr std::size_t kMaxUnresolvedAttempts = 4096;
+    /// Abandoned attempts among them. They are weaker evidence than broken connections.
+    static constexpr std::size_t kMaxAbandonedAttempts = kMaxUnresolvedAttempts / 2;
+    /// The list drops a server some heartbeats after its end: an attempt that was sent later did
+    /// not end it.
+    static constexpr Duration kMinRemovalDelay = milliseconds(2000);
+    /// Prompt parts of abandoned attempts count only if the server's end is known so soon, since
+    /// most servers drop a request when its caller leaves.
+    static constexpr Duration kAbandonedPartsWindow = milliseconds(1000);
     static constexpr std::size_t kMaxSuspects = 16384;
     static constexpr std::size_t kMaxTerminations =
         4096; ///< Covers all servers of a large fleet at once.
@@ -121,6 +145,13 @@
     {
         UnansweredAttempt attempt;
         TimePoint endedAt;
+        TimePoint nextCheckAt = kNever; ///< Of abandoned attempts only.
+        Duration checkDelay{0};         ///< Before nextCheckAt.
+
+        /// The server did not end under the attempt if it answers a request sent after this time.
+        TimePoint resolvedAt() const { return std::max(endedAt, attempt.mayRunUntil); }
+        /// Sets the next check to `delay` after `from`, or to the end of the run if that is sooner.
+        void scheduleCheck(TimePoint from, Duration delay);
     };
 
     struct Termination
@@ -132,10 +163,16 @@
     struct SuspectRequest
     {
         std::set<std::string>
-            incarnations;      ///< Incarnations that terminated while they ran the request.
-        TimePoint lastCrashAt; ///< When this router learned of the last crash.
+            incarnations; ///< Incarnations that terminated while they ran the request.
+        TimePoint lastCrashAt = TimePoint::min(); ///< When its finder learned of the last crash.
     };
 
+    /// Removes the attempts for which `isDue` returns true from a list of m_unresolvedAttempts.
+    void eraseAttempts(std::vector<UnresolvedAttempt> &attempts,
+                       const std::function<bool(const UnresolvedAttempt &)> &isDue);
+    /// True if the evidence shows that the server ended while it may have run the attempt.
+    static bool mayHaveCrashed(const UnresolvedAttempt &unresolved, TerminationEvidence evidence,
+                               TimePoint now);
     /// Records the crash and, unless it was known, adds a finding for the other routers.
     void confirmCrash(UnansweredAttempt attempt, const std::string &incarnation,
                       TerminationEvidence evidence, Duration detectionDelay, TimePoint now);
@@ -146,6 +183,7 @@
     std::map<std::string, std::vector<UnresolvedAttempt>>
         m_unresolvedAttempts;                          ///< By incarnation; no list is empty.
     std::size_t m_unresolvedAttemptCount = 0;          ///< Over all incarnations.
+    std::size_t m_abandonedAttemptCount = 0;           ///< Abandoned ones among them.
     std::map<std::string, Termination> m_terminations; ///< By incarnation; without refused
                                                        ///< connections, which may be temporary.
     std::set<std::string> m_explainedCrashes;          ///< Incarnations.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -53,6 +53,20 @@
         [this, replica](std::optional<BreakKind> failure) { onServerChecked(*replica, failure); });
 }
 
+void Gateway::checkServersOfAbandonedRequests()
+{
+    Dispatcher &dispatcher = m_dependencies.dispatcher;
+    for (const std::string &incarnation : dispatcher.crashGuard().takeDueChecks(now())) {
+        if (m_dependencies.pool.hasOpenConnection(incarnation))
+            continue; // A server that ends closes it.
+        for (const auto &replica : dispatcher.replicas().all()) {
+            // The end of a server that leaves is no crash.
+            if (replica->incarnation == incarnation && !replica->isLeaving)
+                checkServer(replica, [] {});
+        }
+    }
+}
+
 void Gateway::onServerChecked(Replica &replica, std::optional<BreakKind> failure)
 {
     const bool isRefused = failure == BreakKind::Refused;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -66,6 +66,9 @@
     /// process still runs; reports an unreachable one to the dispatcher, then calls `onChecked`.
     /// Calls for the same incarnation share one check.
     void checkServer(const std::shared_ptr<Replica> &replica, std::function<void()> onChecked);
+    /// Checks servers that may have ended under a request whose caller has left; to be called
+    /// regularly.
+    void checkServersOfAbandonedRequests();
     /// Forgets a request that has ended.
     void removeRequest(const std::shared_ptr<ProxiedRequest> &request);
 
--- a/src/gateway/proxiedrequest.cpp
+++ b/src/gateway/proxiedrequest.cpp
@@ -571,7 +571,7 @@
     const TimePoint now = m_gateway.now();
     const bool isAnswerPending =
         m_connection && m_connection->hasSent() && m_relay != Relay::Discard;
-    if (isAnswerPending && now - m_lastReceivedAt >= kCrashSuspicionSilence)
+    if (isAnswerPending && !m_isAbandonReported && now - m_lastReceivedAt >= kCrashSuspicionSilence)
         reportUnanswered(*m_replica, m_relay != Relay::None, now);
     if (std::exchange(m_isAwaitingAnswer, false))
         dispatcher().onAbandoned(*m_replica, now - m_sentAt, now);
@@ -645,9 +645,20 @@
                     dispatcher().smoothedWait(m_admission.service) * kOrdinaryWaits);
 }
 
-void ProxiedRequest::reportUnanswered(const Replica &replica, bool wasAlive, TimePoint now)
+void ProxiedRequest::reportAbandoned(TimePoint now)
 {
-    UnansweredAttempt attempt{m_facts.fingerprint, {}, m_sentAt};
+    if (!m_replica || !m_connection || !m_connection->hasSent() || m_relay == Relay::Discard)
+        return;
+    m_isAbandonReported = true;
+    const Duration maxWait = std::min(ordinaryWait(), kCrashSuspicionSilence);
+    reportUnanswered(*m_replica, m_relay != Relay::None || now - m_sentAt < maxWait, now,
+                     std::max(now, m_deadline + kCallerMargin));
+}
+
+void ProxiedRequest::reportUnanswered(const Replica &replica, bool wasAlive, TimePoint now,
+                                      TimePoint mayRunUntil)
+{
+    UnansweredAttempt attempt{m_facts.fingerprint, {}, m_sentAt, mayRunUntil};
     if (wasAlive && !m_isSoundReported)
         attempt.suspectParts = sharedParts(m_facts);
     dispatcher().crashGuard().onAttemptUnanswered(std::move(attempt), replica.incarnation, now);
@@ -743,6 +754,7 @@
 void ProxiedRequest::onCallerGone()
 {
     const auto self = shared_from_this();
+    reportAbandoned(m_gateway.now());
     abortAttempt();
     finish("caller-left", 0, "");
 }
--- a/src/gateway/proxiedrequest.h
+++ b/src/gateway/proxiedrequest.h
@@ -110,8 +110,12 @@
     /// tells the caller when to retry.
     void refuseForPause(Duration pause, TimePoint now);
     /// Reports to the crash guard that the attempt's server may have crashed under it. With
-    /// `wasAlive` false, the server may have been down before the request was sent.
-    void reportUnanswered(const Replica &replica, bool wasAlive, TimePoint now);
+    /// `wasAlive` false, the server may have been down before the request was sent. `mayRunUntil`
+    /// as in UnansweredAttempt.
+    void reportUnanswered(const Replica &replica, bool wasAlive, TimePoint now,
+                          TimePoint mayRunUntil = TimePoint::min());
+    /// As reportUnanswered(), if the caller leaves while the server may run the request.
+    void reportAbandoned(TimePoint now);
     /// Wait for the first bytes within which servers of the service usually answer.
     Duration ordinaryWait();
     /// Reports once an attempt whose answer went on after its start.
@@ -145,6 +149,7 @@
                                 ///< before them.
     TimePoint m_answerBegunAt = TimePoint::min(); ///< First body bytes of the latest attempt's
                                                   ///< answer; min() before them.
+    bool m_isAbandonReported = false;             ///< The crash guard knows that the caller left.
     bool m_isSoundReported = false; ///< The latest attempt's answer went on after its start.
     Lease m_lease; ///< Of the current attempt; its queue owner is empty without a lease.
     LeaseOutcome m_leaseOutcome =
--- a/src/traffic/backendpool.cpp
+++ b/src/traffic/backendpool.cpp
@@ -55,6 +55,14 @@
                      });
 }
 
+bool BackendPool::hasOpenConnection(const std::string &server) const
+{
+    const auto found = m_idle.find(server);
+    return found != m_idle.end()
+        && std::any_of(found->second.begin(), found->second.end(),
+                       [](const Idle &idle) { return idle.connection->isReusable(); });
+}
+
 void BackendPool::sweep(TimePoint now)
 {
     for (auto entry = m_idle.begin(); entry != m_idle.end();) {
--- a/src/traffic/backendpool.h
+++ b/src/traffic/backendpool.h
@@ -31,6 +31,8 @@
     void probe(const std::string &server, const BackendConnection::Endpoint &endpoint,
                Duration limit, TimePoint now,
                std::function<void(std::optional<BreakKind>)> handler);
+    /// True if an idle connection shows that the server's process still runs.
+    bool hasOpenConnection(const std::string &server) const;
     /// Closes connections that were idle for too long.
     void sweep(TimePoint now);
 
--- a/tests/crashguardtest.cpp
+++ b/tests/crashguardtest.cpp
@@ -49,6 +49,13 @@
     CPPUNIT_TEST(announcedLeaveOfAServerIsNoCrash);
     CPPUNIT_TEST(connectTimeoutIsNoCrash);
     CPPUNIT_TEST(unresolvedAttemptsAreBounded);
+    CPPUNIT_TEST(serverThatEndsUnderAbandonedAttemptIsACrash);
+    CPPUNIT_TEST(abandonedAttemptOutlivesAnswersUntilItsTimeHasPassed);
+    CPPUNIT_TEST(removalTooSoonAfterAbandonedAttemptIsNoCrash);
+    CPPUNIT_TEST(removalUnderAttemptAbandonedAfterLongWaitIsACrash);
+    CPPUNIT_TEST(partsOfAbandonedAttemptCountOnlyIfEndIsKnownSoon);
+    CPPUNIT_TEST(abandonedAttemptsAskForFewChecks);
+    CPPUNIT_TEST(abandonedAttemptsLeaveRoomForBrokenOnes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -232,7 +239,104 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), guard.takeFindings().size());
     }
 
+    /// Review case 1: the caller leaves at 75 ms, the server ends at 150 ms.
+    void serverThatEndsUnderAbandonedAttemptIsACrash()
+    {
+        CrashGuard guard;
+        guard.onAttemptUnanswered(abandoned(), "e1@1", at(75));
+        guard.onServerTerminated("e1@1", TerminationEvidence::ConnectionRefused, at(400));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), guard.crashCount(kRequest));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), guard.takeFindings().size());
+    }
+
+    void abandonedAttemptOutlivesAnswersUntilItsTimeHasPassed()
+    {
+        CrashGuard guard;
+        guard.onAttemptUnanswered(abandoned(), "e1@1", at(75));
+        guard.onAttemptUnanswered(abandoned(), "e2@1", at(75));
+        guard.onServerAnswered("e1@1", at(100));
+        guard.onServerAnswered("e2@1", at(2500));
+        guard.onServerTerminated("e1@1", TerminationEvidence::ConnectionRefused, at(150));
+        guard.onServerTerminated("e2@1", TerminationEvidence::ConnectionRefused, at(2600));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), guard.takeFindings().size());
+    }
+
+    /// The list drops a server some heartbeats after its end, which was before the request then.
+    void removalTooSoonAfterAbandonedAttemptIsNoCrash()
+    {
+        CrashGuard guard;
+        guard.onAttemptUnanswered(abandoned(), "e1@1", at(75));
+        guard.onAttemptUnanswered(abandoned(), "e2@1", at(75));
+        guard.onServerTerminated("e1@1", TerminationEvidence::RecordRemoved, at(1999));
+        guard.onServerTerminated("e2@1", TerminationEvidence::RecordRemoved, at(3600));
+        guard.onServerTerminated("e3@1", TerminationEvidence::RecordRemoved, at(60));
+        guard.onAttemptUnanswered(abandoned(), "e3@1", at(75));
+        const auto findings = guard.takeFindings();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), findings.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("e2@1"), findings.front().incarnation);
+    }
+
+    void removalUnderAttemptAbandonedAfterLongWaitIsACrash()
+    {
+        CrashGuard guard;
+        UnansweredAttempt attempt = abandoned();
+        attempt.suspectParts = {PromptPartId(1)};
+        guard.onServerTerminated("e1@1", TerminationEvidence::RecordRemoved, at(600));
+        guard.onAttemptUnanswered(attempt, "e1@1", at(1300));
+        guard.onAttemptUnanswered(attempt, "e2@1", at(1300));
+        guard.onServerTerminated("e2@1", TerminationEvidence::RecordRemoved, at(1600));
+        const auto findings = guard.takeFindings();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), findings.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), findings.back().suspectParts.size());
+    }
+
+    void partsOfAbandonedAttemptCountOnlyIfEndIsKnownSoon()
+    {
+        CrashGuard guard;
+        for (const char *server : {"e1@1", "e2@1", "e3@1"}) {
+            UnansweredAttempt attempt = abandoned();
+            attempt.suspectParts = {PromptPartId(1)};
+            guard.onAttemptUnanswered(std::move(attempt), server, at(75));
+        }
+        guard.onServerTerminated("e1@1", TerminationEvidence::ConnectionRefused, at(1075));
+        guard.onServerTerminated("e2@1", TerminationEvidence::ConnectionRefused, at(1076));
+        guard.onServerTerminated("e3@1", TerminationEvidence::Restarted, at(1000));
+        const auto findings = guard.takeFindings();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), findings.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), findings[0].suspectParts.size());
+        CPPUNIT_ASSERT(findings[1].suspectParts.empty() && findings[2].suspectParts.empty());
+    }
+
+    void abandonedAttemptsAskForFewChecks()
+    {
+        CrashGuard guard;
+        guard.onAttemptUnanswered(kRequest, "e0@1", at(75));
+        for (const char *server : {"e1@1", "e2@1", "e3@1"})
+            guard.onAttemptUnanswered(abandoned(), server, at(75));
+        CPPUNIT_ASSERT(guard.takeDueChecks(at(374)).empty());
+        guard.onServerAnswered("e3@1", at(300)); // Its check moves to 600 ms.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), guard.takeDueChecks(at(375)).size());
+        CPPUNIT_ASSERT(guard.takeDueChecks(at(376)).empty());
+        std::size_t checks = 0;
+        for (std::int64_t ms = 400; ms < 8000; ms += 100)
+            checks += guard.takeDueChecks(at(ms)).size();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(10), checks); // 3 more, 3 more, 4.
+    }
+
+    void abandonedAttemptsLeaveRoomForBrokenOnes()
+    {
+        CrashGuard guard;
+        for (int count = 0; count < 10000; ++count)
+            guard.onAttemptUnanswered(abandoned(), "e1@1", at(75));
+        guard.onAttemptUnanswered(kOtherRequest, "e2@1", at(76));
+        guard.onServerTerminated("e2@1", TerminationEvidence::ConnectionRefused, at(80));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), guard.takeFindings().size());
+    }
+
 private:
+    /// Sent at 0 with 2.5 s for its run.
+    static UnansweredAttempt abandoned() { return {kRequest, {}, at(0), at(2500)}; }
+
     static bool isRefused(const CrashGuard &guard, Fingerprint request, std::int64_t ms)
     {
         return guard.remainingRefusal(request, at(ms)) > Duration(0);
--- a/tests/traffic/crashingfleet.cpp
+++ b/tests/traffic/crashingfleet.cpp
@@ -98,8 +98,12 @@
     }
     if (server.isSilent)
         return;
-    if (request.body == "late") {
-        schedule(kLateEnd, [this, &server] { endServer(server); });
+    if (request.body == "late" || request.body == "left") {
+        schedule(request.body == "late" ? kLateEnd : kLeftEnd,
+                 [this, &server, process = server.processes.size()] {
+                     if (server.processes.size() == process)
+                         endServer(server);
+                 });
         return;
     }
     if (request.body == "dark" || request.body == "mute") {
@@ -148,6 +152,8 @@
                       + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     if (body == "dark" || body == "mute")
         call.disconnectAt = now() + callerTimeout;
+    if (body == "left")
+        call.disconnectAt = now() + kLeftEnd / 2;
     m_calls.push_back(std::move(call));
 }
 
--- a/tests/traffic/crashingfleet.h
+++ b/tests/traffic/crashingfleet.h
@@ -49,6 +49,7 @@
         if (sync().readsStore())
             sync().setStoreReadable(true);
         dispatcher.tick(now());
+        gateway.checkServersOfAbandonedRequests();
         const bool hasCrashUpdates = crashUpdates.publish(wallTime(), now());
         if (leavingUpdates.publish(wallTime()) || hasCrashUpdates) {
             onFeedChanged();
@@ -93,6 +94,8 @@
     /// is added to `statuses`, or 0 if there is none. The body selects what the server does:
     /// - "end": the server's process ends when it begins to run the request.
     /// - "late": the server's process ends kLateEnd after it got the request.
+    /// - "left": the server's process ends kLeftEnd after it got the request; its caller
+    ///   disconnects after half of that.
     /// - "reset": the server resets the connection and keeps running.
     /// - "dark": the server falls silent for good after the first event of a stream.
     /// - "mute": the server falls silent for good before its answer.
@@ -115,6 +118,7 @@
     static constexpr std::string_view kDeadlyPart = "dead";
 
     static constexpr Duration kLateEnd = milliseconds(800);
+    static constexpr Duration kLeftEnd = milliseconds(150);
 
     std::size_t routerCount() const { return m_routers.size(); }
     ServingRouter &router(std::size_t index) { return *m_routers.at(index); }
--- a/tests/traffic/crashingrequesttest.cpp
+++ b/tests/traffic/crashingrequesttest.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(requestResetByRunningServersIsNeverRefused);
     CPPUNIT_TEST(retryableRequestStopsAfterCrashingTwoServers);
     CPPUNIT_TEST(crashOfServerRestartedAtOnceIsCounted);
+    CPPUNIT_TEST(requestCrashingServersAfterItsCallerLeftIsStopped);
     CPPUNIT_TEST(streamRequestSilencingServersIsStopped);
     CPPUNIT_TEST(requestSilencingServersUnlistedBeforeCallerLeavesIsStopped);
     CPPUNIT_TEST(routerStartedLaterStopsCrashingRequest);
@@ -81,6 +82,29 @@
         CPPUNIT_ASSERT_EQUAL(502U, fleet.statuses("end").front());
     }
 
+    /// Review case 1. Requests of other callers on the same servers are answered.
+    void requestCrashingServersAfterItsCallerLeftIsStopped()
+    {
+        CrashingFleet fleet(m_loop, 3, 12, milliseconds(800));
+        for (std::size_t round = 0; round < 24; ++round) {
+            const std::string sound = "sound" + std::to_string(round % 4);
+            fleet.send(round % fleet.routerCount(), "/once/", "left");
+            fleet.run(milliseconds(60));
+            fleet.send((round + 1) % fleet.routerCount(), "/once/", sound);
+            fleet.run(milliseconds(90));
+        }
+        checkLateCrashes(fleet);
+        for (std::size_t router = 0; router < fleet.routerCount(); ++router) {
+            for (int kind = 0; kind < 4; ++kind)
+                fleet.send(router, "/once/", "sound" + std::to_string(kind));
+        }
+        fleet.send(0, "/once/", "left");
+        CPPUNIT_ASSERT(fleet.runUntilDone([&] { return fleet.openCalls() == 0; }));
+        CPPUNIT_ASSERT_EQUAL(503U, fleet.statuses("left").back());
+        for (int kind = 0; kind < 4; ++kind)
+            CPPUNIT_ASSERT_EQUAL(200U, fleet.statuses("sound" + std::to_string(kind)).back());
+    }
+
     void streamRequestSilencingServersIsStopped()
     {
         CrashingFleet fleet(m_loop, 3, 10, milliseconds(0));
@@ -231,6 +255,11 @@
             fleet.send(round % fleet.routerCount(), "/once/", "end");
             fleet.run(milliseconds(150));
         }
+        checkLateCrashes(fleet);
+    }
+
+    static void checkLateCrashes(const CrashingFleet &fleet)
+    {
         const std::vector<TimePoint> &crashTimes = fleet.crashTimes();
         CPPUNIT_ASSERT(crashTimes.size() >= 2);
         const auto late = crashTimes.size() < 3
