--- a/src/gateway/crashupdates.cpp
+++ b/src/gateway/crashupdates.cpp
@@ -27,8 +27,9 @@
             .add("refused_for", m_guard.remainingRefusal(notice.request, now));
         m_metrics.count("comfrey_crashes_under_requests_total",
                         "evidence=\"" + std::string(nameOf(notice.evidence)) + '"');
-        m_feed.put({kTopic, fingerprint + ' ' + notice.incarnation, std::string(), wallTime});
+        m_feed.put({kTopic, fingerprint + ' ' + notice.incarnation, std::string(), wallTime, now});
     }
+    m_kept.onFindings(notices, wallTime, now);
     const bool hasEvidence = m_promptCrashes.publish(notices, wallTime, now);
     return !notices.empty() || hasEvidence;
 }
@@ -51,10 +52,12 @@
     const Fingerprint request(number);
     if (cut == record.key.size()) {
         m_guard.onRemoteSuccess(request);
+        m_kept.onRequestCleared(request, now);
         return;
     }
     const std::string server = record.key.substr(cut + 1);
-    if (m_guard.recordCrash(request, server, now))
+    const TimePoint crashedAt = record.readAt == TimePoint::min() ? now : record.readAt;
+    if (m_guard.recordCrash(request, server, crashedAt))
         LogLine(m_log, "crash-heard", now)
             .add("server", server)
             .add("fingerprint", fingerprint)
--- a/src/gateway/crashupdates.h
+++ b/src/gateway/crashupdates.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "dispatch/dispatcher.h"
+#include "gateway/keptcrashes.h"
 #include "gateway/promptcrashupdates.h"
 #include "routers/recordfeed.h"
 #include "telemetry/eventlog.h"
@@ -22,7 +23,7 @@
 
     CrashUpdates(Dispatcher &dispatcher, RecordFeed &feed, EventLog &log, Metrics &metrics)
         : m_guard(dispatcher.crashGuard()), m_feed(feed), m_log(log), m_metrics(metrics),
-          m_promptCrashes(dispatcher, feed, log, metrics)
+          m_promptCrashes(dispatcher, feed, log, metrics), m_kept(dispatcher, feed, log, metrics)
     { }
 
     /// Adds the crashes and cleared requests that this router detected since the last call to the
@@ -32,7 +33,9 @@
     /// records of this router are applied too.
     void apply(const FeedRecord &record, TimePoint now);
     /// To be called after records were applied, and regularly.
-    void update(TimePoint now) { m_promptCrashes.update(now); }
+    void update(TimePoint now) { m_kept.onVerdicts(m_promptCrashes.update(now), now); }
+    /// The crashes that outlast the routers.
+    KeptCrashes &kept() { return m_kept; }
     /// Drops records older than the memory of crashes. `wallTime` is in Unix
     /// milliseconds.
     void dropExpired(std::uint64_t wallTime);
@@ -43,6 +46,7 @@
     EventLog &m_log;
     Metrics &m_metrics;
     PromptCrashUpdates m_promptCrashes;
+    KeptCrashes m_kept;
 };
 
 } // namespace comfrey
--- a/src/gateway/promptcrashupdates.cpp
+++ b/src/gateway/promptcrashupdates.cpp
@@ -146,9 +146,10 @@
         {PromptPartId(sound->part), recordedAt - milliseconds(sound->begunMsBefore)});
 }
 
-void PromptCrashUpdates::update(TimePoint now)
+std::vector<PartVerdict> PromptCrashUpdates::update(TimePoint now)
 {
-    for (const PartVerdict &verdict : m_dispatcher.updateCrashAttribution(now)) {
+    std::vector<PartVerdict> verdicts = m_dispatcher.updateCrashAttribution(now);
+    for (const PartVerdict &verdict : verdicts) {
         LogLine(m_log, verdict.isRefused ? "prompt-part-refused" : "prompt-part-accepted", now)
             .add("part", hexadecimal(verdict.part))
             .add("crashes", static_cast<std::int64_t>(verdict.crashes))
@@ -157,6 +158,7 @@
         if (verdict.isRefused)
             m_metrics.count("comfrey_prompt_parts_refused_total");
     }
+    return verdicts;
 }
 
 void PromptCrashUpdates::dropExpired(std::uint64_t wallTime)
--- a/src/gateway/promptcrashupdates.h
+++ b/src/gateway/promptcrashupdates.h
@@ -31,8 +31,9 @@
     bool publish(const std::vector<CrashFinding> &findings, std::uint64_t wallTime, TimePoint now);
     /// Applies a record if it is of one of the topics; records of this router are applied too.
     void apply(const FeedRecord &record, TimePoint now);
-    /// Decides which parts are refused after records were applied, and logs what changed.
-    void update(TimePoint now);
+    /// Decides which parts are refused after records were applied, and logs and returns what
+    /// changed.
+    std::vector<PartVerdict> update(TimePoint now);
     /// Drops records older than the memory of crashes. `wallTime` is in Unix milliseconds.
     void dropExpired(std::uint64_t wallTime);
 
--- a/src/quarantine/crashattribution.cpp
+++ b/src/quarantine/crashattribution.cpp
@@ -182,6 +182,20 @@
     }
 }
 
+std::vector<PartCrash> CrashAttribution::ownCrashes(PromptPartId part) const
+{
+    std::vector<PartCrash> crashes;
+    const auto found = m_evidence.find({false, part.value()});
+    if (found == m_evidence.end())
+        return crashes;
+    for (const Occurrence &occurrence : found->second.occurrences) {
+        if (occurrence.reporter == m_self && occurrence.crashedAt > found->second.soundSince)
+            crashes.push_back({occurrence.incarnation, occurrence.crashedAt, occurrence.sentAt,
+                               found->second.isFamiliar});
+    }
+    return crashes;
+}
+
 CrashAttribution::RefusedPart CrashAttribution::refusedPart(const Evidence &evidence)
 {
     RefusedPart part;
--- a/src/quarantine/crashattribution.h
+++ b/src/quarantine/crashattribution.h
@@ -63,6 +63,15 @@
     std::size_t crashes = 0;
 };
 
+/// A crash under a request with a certain part.
+struct PartCrash
+{
+    std::string incarnation; ///< Of the server.
+    TimePoint crashedAt;
+    TimePoint sentAt;
+    bool isFamiliar = false; ///< Answers to requests with the part went on before.
+};
+
 /// Collects crash reports and decides which prompt parts are refused. A refused part is probed by
 /// one request of one router after a period that grows with the time over which it has crashed
 /// servers; it is accepted again once an answer goes on after its start.
@@ -91,6 +100,8 @@
     Duration remainingRefusal(const std::vector<PromptPartId> &parts, TimePoint now) const;
     /// True if a request with the parts is to be sent as the probe of the only refused one.
     bool tryProbe(const std::vector<PromptPartId> &parts, TimePoint now);
+    /// The crashes since the part's last sound answer that this router reported first.
+    std::vector<PartCrash> ownCrashes(PromptPartId part) const;
     /// Number of crashes on record.
     std::size_t crashCount() const { return m_crashes.size(); }
     /// Incarnations of the servers whose crashes a refused part explains.
--- a/tests/soak/standinstore.cpp
+++ b/tests/soak/standinstore.cpp
@@ -1,4 +1,4 @@
-// log-read and log-newest.
+// log-read, log-newest and log-append.
 #include "standinstore.h"
 
 namespace comfrey::soak {
@@ -111,6 +111,11 @@
     const std::string &target = request.head.target;
     const std::string name = parameter(target, "topic");
     const Topic &topic = m_topics[name];
+    if (target.find("log-append") != std::string::npos) {
+        appendRecords(name, request.body);
+        send(connection, 200, "{\"end\":" + std::to_string(topic.end()) + "}");
+        return;
+    }
     if (target.find("log-newest") != std::string::npos) {
         answerNewest(connection, topic);
         return;
@@ -123,6 +128,20 @@
         answerRead(connection, topic, from);
 }
 
+void StandInStore::appendRecords(const std::string &topic, std::string_view body)
+{
+    while (body.size() > 4) {
+        std::size_t length = 0;
+        for (const char byte : body.substr(0, 4))
+            length = length << 8 | static_cast<unsigned char>(byte);
+        const std::string_view record = body.substr(4, length);
+        const std::size_t keyLength = static_cast<unsigned char>(record.front());
+        append(topic, std::string(record.substr(1, keyLength)),
+               std::string(record.substr(1 + keyLength)));
+        body.remove_prefix(4 + record.size());
+    }
+}
+
 void StandInStore::answerRead(ServerConnection &connection, const Topic &topic, std::uint64_t from)
 {
     if (from < topic.firstKept) {
--- a/tests/soak/standinstore.h
+++ b/tests/soak/standinstore.h
@@ -1,5 +1,5 @@
-// The platform's store for the soak: two keyed topics that the soak writes, read over HTTP with the
-// faults that it sets.
+// The platform's store for the soak: keyed topics that the soak and the routers write, read over
+// HTTP with the faults that the soak sets.
 #pragma once
 
 #include <list>
@@ -54,6 +54,8 @@
 
     void onRequest(loopback::ServerConnection &connection,
                    const loopback::ServerConnection::Request &request);
+    /// `body` holds the records of a log-append.
+    void appendRecords(const std::string &topic, std::string_view body);
     void answerRead(loopback::ServerConnection &connection, const Topic &topic, std::uint64_t from);
     void answerNewest(loopback::ServerConnection &connection, const Topic &topic);
 
--- a/tests/traffic/crashingfleet.cpp
+++ b/tests/traffic/crashingfleet.cpp
@@ -20,12 +20,60 @@
     }
     for (std::size_t index = 0; index < routers; ++index)
         addRouter();
+    runUntilFresh();
+}
+
+void CrashingFleet::runUntilFresh()
+{
     runUntilDone([&] {
         return std::all_of(m_routers.begin(), m_routers.end(),
                            [](const auto &router) { return router->sync().isFresh(now()); });
     });
 }
 
+void CrashingFleet::restartRouters()
+{
+    const std::size_t count = m_routers.size();
+    for (auto &router : m_routers) {
+        router->callers.stopListening();
+        m_endedRouters.push_back(std::move(router));
+    }
+    m_routers.clear();
+    while (m_routers.size() < count)
+        addRouter();
+    runUntilFresh();
+}
+
+void CrashingFleet::exchangeKeptCrashes(ServingRouter &router)
+{
+    KeptCrashes &kept = router.crashUpdates.kept();
+    const bool readsStore = router.sync().readsStore();
+    if (readsStore && !router.hasReadKeptCrashes && !isStoreDown) {
+        ++storeCalls;
+        router.hasReadKeptCrashes = true;
+        std::vector<StoredCrash> records;
+        for (const auto &[key, value] : keptCrashes)
+            records.push_back({key, value});
+        if (kept.onRead(records, ServingRouter::wallTime(), now())) {
+            router.onFeedChanged();
+            router.sync().publish();
+        }
+    }
+    const auto batch = kept.takeBatch(readsStore, ServingRouter::wallTime(), now());
+    if (batch.empty())
+        return;
+    ++storeCalls;
+    for (const StoredCrash &record : batch) {
+        if (isStoreDown)
+            break;
+        if (record.value)
+            keptCrashes[record.key] = *record.value;
+        else
+            keptCrashes.erase(record.key);
+    }
+    kept.onWritten(batch.size(), isStoreDown ? "the store is down" : "", now());
+}
+
 FleetConfig CrashingFleet::config()
 {
     FleetConfig config;
@@ -161,8 +209,10 @@
 {
     if (now() >= m_nextTick) {
         m_nextTick = now() + kTick;
-        for (const auto &router : m_routers)
+        for (const auto &router : m_routers) {
             router->tick();
+            exchangeKeptCrashes(*router);
+        }
     }
     while (!m_scheduledActions.empty() && m_scheduledActions.begin()->first <= now()) {
         const auto action = std::move(m_scheduledActions.begin()->second);
--- a/tests/traffic/crashingfleet.h
+++ b/tests/traffic/crashingfleet.h
@@ -78,6 +78,7 @@
     CallerListener callers;
     CrashUpdates crashUpdates;
     LeavingUpdates leavingUpdates;
+    bool hasReadKeptCrashes = false;     ///< From the store of the fleet.
     std::uint64_t appliedFeedNumber = 0; ///< Number of the last feed change that was applied.
 };
 
@@ -113,6 +114,8 @@
     bool runUntilDone(const std::function<bool()> &done);
     /// Starts one more router, which synchronises with the first one.
     void addRouter();
+    /// All routers lose power; as many start anew and synchronise.
+    void restartRouters();
 
     /// Prompt part that ends the server's process when it begins to run a request with it.
     static constexpr std::string_view kDeadlyPart = "dead";
@@ -140,6 +143,10 @@
     Duration unlistingDelay = milliseconds(600);
     /// Time after which the caller of a request that silences its server disconnects.
     Duration callerTimeout = milliseconds(1300);
+    /// Kept crashes in the platform's store, by key.
+    std::map<std::string, std::string> keptCrashes;
+    std::size_t storeCalls = 0; ///< About kept crashes.
+    bool isStoreDown = false;
     bool keepsPort = false; ///< Whether restarted servers keep their address.
 
 private:
@@ -169,6 +176,10 @@
     void listServer(const Server &server);
     void onRequest(Server &server, ServerConnection &connection,
                    const ServerConnection::Request &request);
+    /// Reads and writes kept crashes, as platform/crashstore.cpp does.
+    void exchangeKeptCrashes(ServingRouter &router);
+    /// Runs until all routers are up to date with the store.
+    void runUntilFresh();
     void step();
     void schedule(Duration after, std::function<void()> action)
     {
@@ -181,6 +192,8 @@
     Duration m_restartDelay;
     std::vector<std::unique_ptr<Server>> m_servers;
     std::vector<std::unique_ptr<ServingRouter>> m_routers;
+    /// Earlier ones; their sockets may still have handlers in the event loop.
+    std::vector<std::unique_ptr<ServingRouter>> m_endedRouters;
     std::vector<Call> m_calls;
     std::map<std::string, std::vector<unsigned>> m_statuses;
     std::multimap<TimePoint, std::function<void()>> m_scheduledActions;
--- a/tests/traffic/crashingrequesttest.cpp
+++ b/tests/traffic/crashingrequesttest.cpp
@@ -33,6 +33,10 @@
     CPPUNIT_TEST(streamRequestSilencingServersIsStopped);
     CPPUNIT_TEST(requestSilencingServersUnlistedBeforeCallerLeavesIsStopped);
     CPPUNIT_TEST(routerStartedLaterStopsCrashingRequest);
+    CPPUNIT_TEST(crashingRequestIsKnownAfterAllRoutersLostPower);
+    CPPUNIT_TEST(crashingPromptPartIsKnownAfterAllRoutersLostPower);
+    CPPUNIT_TEST(crashesAreReadOnceStoreIsBack);
+    CPPUNIT_TEST(quietFleetCallsStoreOnceAfterItsStart);
     CPPUNIT_TEST(otherRequestAfterCrashesIsServed);
     CPPUNIT_TEST(differentRequestsWithOnePromptPartThatCrashesServersAreStopped);
     CPPUNIT_TEST(partOfRequestsSentToServersThatWereSilentAlreadyIsNotRefused);
@@ -131,6 +135,86 @@
         CPPUNIT_ASSERT_EQUAL(before, fleet.crashTimes().size());
     }
 
+    /// Review case 5.
+    void crashingRequestIsKnownAfterAllRoutersLostPower()
+    {
+        CrashingFleet fleet(m_loop, 3, 12, milliseconds(800));
+        for (int life = 0; life < 4; ++life) {
+            if (life > 0)
+                fleet.restartRouters();
+            for (std::size_t router = 0; router < fleet.routerCount(); ++router) {
+                fleet.send(router, "/once/", "end");
+                fleet.run(milliseconds(700));
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), fleet.crashTimes().size());
+        CPPUNIT_ASSERT_EQUAL(503U, fleet.statuses("end").back());
+        fleet.send(0, "/once/", "other");
+        CPPUNIT_ASSERT(fleet.runUntilDone([&] { return fleet.openCalls() == 0; }));
+        CPPUNIT_ASSERT_EQUAL(200U, fleet.statuses("other").back());
+        // Two crashes, and the reads of four starts.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.storeCalls) + " calls of the store",
+                               fleet.storeCalls <= 2 + 4 * fleet.routerCount());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), fleet.keptCrashes.size());
+    }
+
+    /// Review case 5 for requests that are alike only in one prompt part.
+    void crashingPromptPartIsKnownAfterAllRoutersLostPower()
+    {
+        CrashingFleet fleet(m_loop, 3, 12, milliseconds(800));
+        const std::string deadly = std::string(CrashingFleet::kDeadlyPart) + ":100,";
+        std::string last;
+        for (int life = 0; life < 4; ++life) {
+            if (life > 0)
+                fleet.restartRouters();
+            for (std::size_t router = 0; router < fleet.routerCount(); ++router) {
+                const std::string number = std::to_string(life) + std::to_string(router);
+                last = "deadly" + number;
+                fleet.send(router, "/once/", "sound" + number,
+                           promptOf({"1f:800,", ownPart('c', number)}));
+                fleet.send(router, "/once/", last,
+                           promptOf({"1f:800,", deadly, ownPart('b', number)}));
+                fleet.run(milliseconds(700));
+                CPPUNIT_ASSERT_EQUAL(200U, fleet.statuses("sound" + number).back());
+            }
+        }
+        CPPUNIT_ASSERT_MESSAGE("crashes: " + std::to_string(fleet.crashTimes().size()),
+                               fleet.crashTimes().size() <= 3);
+        CPPUNIT_ASSERT_EQUAL(503U, fleet.statuses(last).back());
+    }
+
+    /// Requests are served meanwhile.
+    void crashesAreReadOnceStoreIsBack()
+    {
+        CrashingFleet fleet(m_loop, 3, 12, milliseconds(800));
+        CPPUNIT_ASSERT(sendUntilRefused(fleet));
+        fleet.run(milliseconds(2500));
+        const std::size_t crashes = fleet.crashTimes().size();
+        fleet.isStoreDown = true;
+        fleet.restartRouters();
+        fleet.send(0, "/once/", "other");
+        CPPUNIT_ASSERT(fleet.runUntilDone([&] { return fleet.openCalls() == 0; }));
+        CPPUNIT_ASSERT_EQUAL(200U, fleet.statuses("other").back());
+        fleet.isStoreDown = false;
+        fleet.run(milliseconds(1000));
+        for (std::size_t router = 0; router < fleet.routerCount(); ++router)
+            fleet.send(router, "/once/", "end");
+        CPPUNIT_ASSERT(fleet.runUntilDone([&] { return fleet.openCalls() == 0; }));
+        CPPUNIT_ASSERT_EQUAL(crashes, fleet.crashTimes().size());
+    }
+
+    void quietFleetCallsStoreOnceAfterItsStart()
+    {
+        CrashingFleet fleet(m_loop, 3, 4, milliseconds(800));
+        const std::size_t atStart = fleet.storeCalls;
+        for (int round = 0; round < 30; ++round) {
+            fleet.send(0, "/once/", "calm" + std::to_string(round));
+            fleet.run(milliseconds(100));
+        }
+        CPPUNIT_ASSERT(atStart <= fleet.routerCount());
+        CPPUNIT_ASSERT_EQUAL(atStart, fleet.storeCalls);
+    }
+
     void otherRequestAfterCrashesIsServed()
     {
         CrashingFleet fleet(m_loop, 3, 8, milliseconds(800));
