--- a/tests/traffic/crashingfleet.h
+++ b/tests/traffic/crashingfleet.h
@@ -49,6 +49,7 @@
         if (sync().readsStore())
             sync().setStoreReadable(true);
         dispatcher.tick(now());
+        gateway.checkServersOfAbandonedRequests();
         const bool hasCrashUpdates = crashUpdates.publish(wallTime(), now());
         if (leavingUpdates.publish(wallTime()) || hasCrashUpdates) {
             onFeedChanged();
@@ -77,6 +78,7 @@
     CallerListener callers;
     CrashUpdates crashUpdates;
     LeavingUpdates leavingUpdates;
+    bool hasReadKeptCrashes = false;     ///< From the store of the fleet.
     std::uint64_t appliedFeedNumber = 0; ///< Number of the last feed change that was applied.
 };
 
@@ -93,6 +95,8 @@
     /// is added to `statuses`, or 0 if there is none. The body selects what the server does:
     /// - "end": the server's process ends when it begins to run the request.
     /// - "late": the server's process ends kLateEnd after it got the request.
+    /// - "left": the server's process ends kLeftEnd after it got the request; its caller
+    ///   disconnects after half of that.
     /// - "reset": the server resets the connection and keeps running.
     /// - "dark": the server falls silent for good after the first event of a stream.
     /// - "mute": the server falls silent for good before its answer.
@@ -110,11 +114,14 @@
     bool runUntilDone(const std::function<bool()> &done);
     /// Starts one more router, which synchronises with the first one.
     void addRouter();
+    /// All routers lose power; as many start anew and synchronise.
+    void restartRouters();
 
     /// Prompt part that ends the server's process when it begins to run a request with it.
     static constexpr std::string_view kDeadlyPart = "dead";
 
     static constexpr Duration kLateEnd = milliseconds(800);
+    static constexpr Duration kLeftEnd = milliseconds(150);
 
     std::size_t routerCount() const { return m_routers.size(); }
     ServingRouter &router(std::size_t index) { return *m_routers.at(index); }
@@ -136,6 +143,10 @@
     Duration unlistingDelay = milliseconds(600);
     /// Time after which the caller of a request that silences its server disconnects.
     Duration callerTimeout = milliseconds(1300);
+    /// Kept crashes in the platform's store, by key.
+    std::map<std::string, std::string> keptCrashes;
+    std::size_t storeCalls = 0; ///< About kept crashes.
+    bool isStoreDown = false;
     bool keepsPort = false; ///< Whether restarted servers keep their address.
 
 private:
@@ -165,6 +176,10 @@
     void listServer(const Server &server);
     void onRequest(Server &server, ServerConnection &connection,
                    const ServerConnection::Request &request);
+    /// Reads and writes kept crashes, as platform/crashstore.cpp does.
+    void exchangeKeptCrashes(ServingRouter &router);
+    /// Runs until all routers are up to date with the store.
+    void runUntilFresh();
     void step();
     void schedule(Duration after, std::function<void()> action)
     {
@@ -177,6 +192,8 @@
     Duration m_restartDelay;
     std::vector<std::unique_ptr<Server>> m_servers;
     std::vector<std::unique_ptr<ServingRouter>> m_routers;
+    /// Earlier ones; their sockets may still have handlers in the event loop.
+    std::vector<std::unique_ptr<ServingRouter>> m_endedRouters;
     std::vector<Call> m_calls;
     std::map<std::string, std::vector<unsigned>> m_statuses;
     std::multimap<TimePoint, std::function<void()>> m_scheduledActions;
