Shared queue: a router decides alone after 80 ms without an owner

Cause: a follower waited 300 ms for a silent queue owner, then as long for the next one; a request in a long poll could reach its time limit unsent; an owner was skipped for 2 s and more after one slow answer. A lease granted to a router that had given up stayed taken until it expired. Change: QueueOwnerHealth decides, without I/O: an owner answers a first poll within 40 ms (a timer of its own, the tick is 100 ms apart), a router without an answer after 80 ms places the request alone; in a long poll it stops 60 ms before the caller leaves and refuses. Silent owners are skipped for 200 ms, doubling, stopped ones for 2 s. Requests that a router gives up are withdrawn at the owner (PlaceAsk.withdrawn), which frees their lease. Counters for requests refused at once, displaced, refused late and come back, and the log line places-refused. The drain rate is learnt only while the servers are busy, not while none can be reached.

--- a/src/dispatch/servicequeue.cpp
+++ b/src/dispatch/servicequeue.cpp
@@ -99,8 +99,9 @@
     if (found == m_leases.end())
         return;
     const GrantedLease lease = found->second;
+    const bool wasRun = outcome == LeaseOutcome::Answered || outcome == LeaseOutcome::Failed;
+    m_drainRate.advance(wasRun ? 1 : 0, isSaturated(), now);
     m_leases.erase(found);
-    m_drainRate.advance(1, !m_waiting.empty(), now);
     const auto entry = m_servers.find(lease.server);
     if (entry == m_servers.end())
         return;
@@ -126,6 +127,15 @@
     }
 }
 
+void ServiceQueue::releaseUnusedOf(std::uint64_t requestId, TimePoint now)
+{
+    const auto lease = std::find_if(m_leases.begin(), m_leases.end(), [&](const auto &entry) {
+        return entry.second.requestId == requestId;
+    });
+    if (lease != m_leases.end())
+        release(lease->first, LeaseOutcome::Unused, now);
+}
+
 Duration ServiceQueue::meanLeaseTime() const
 {
     double total = 0;
@@ -171,6 +181,11 @@
     }
 }
 
+bool ServiceQueue::isSaturated() const
+{
+    return !m_waiting.empty() && m_leases.size() >= totalSlots();
+}
+
 void ServiceQueue::refuseExpired(TimePoint now, std::vector<LeaseDecision> &decisions)
 {
     const Duration needed = minAnswerTime();
@@ -286,7 +301,7 @@
 void ServiceQueue::enqueue(LeaseRequest request, TimePoint now)
 {
     decayCounts(now);
-    m_drainRate.advance(0, !m_waiting.empty(), now);
+    m_drainRate.advance(0, isSaturated(), now);
     WaitingRequest waiting;
     waiting.arrivedAt = now - request.waited;
     waiting.callerDeadline = now + request.callerTime;
@@ -379,7 +394,8 @@
         const LeaseRequest &request = next->request;
         const auto server = bestServerFor(request, now);
         ++server->second.leases;
-        m_leases[++m_lastLeaseId] = {server->first, now, request.answerDeadline + kExpiryMargin};
+        m_leases[++m_lastLeaseId] = {server->first, request.id, now,
+                                     request.answerDeadline + kExpiryMargin};
         m_organisations[request.organisation].granted += 1;
         decisions.push_back({request.id, m_lastLeaseId, server->first, Duration(0)});
         m_waiting.erase(next);
@@ -391,7 +407,7 @@
     std::vector<LeaseDecision> decisions;
     decayCounts(now);
     dropExpiredLeases(now);
-    m_drainRate.advance(0, !m_waiting.empty(), now);
+    m_drainRate.advance(0, isSaturated(), now);
     refuseExpired(now, decisions);
     grantLeases(now, decisions);
     refuseUnservable(now, decisions);
--- a/src/dispatch/servicequeue.h
+++ b/src/dispatch/servicequeue.h
@@ -98,6 +98,8 @@
     /// Ends a lease and updates the load and failure statistics of its server. Unknown and expired
     /// ids are ignored.
     void release(std::uint64_t leaseId, LeaseOutcome outcome, TimePoint now);
+    /// Releases the lease that was granted for the request, if any, as unused.
+    void releaseUnusedOf(std::uint64_t requestId, TimePoint now);
     /// Drops expired leases, refuses requests that cannot be served in time and grants every lease
     /// that a server has room for. Returns the decisions.
     std::vector<LeaseDecision> decide(TimePoint now);
@@ -122,6 +124,7 @@
     struct GrantedLease
     {
         std::uint32_t server = 0;
+        std::uint64_t requestId = 0;
         TimePoint grantedAt;
         TimePoint expiresAt; ///< Reached if its router has died or cannot reach this one.
     };
@@ -181,6 +184,8 @@
     bool isOnTime(const LeaseRequest &request, TimePoint now) const;
     /// Leases granted to the organisation recently, relative to its usual number of requests.
     double grantedRatio(const std::string &organisation) const;
+    /// True if requests wait for busy servers; not if they wait because no server can be reached.
+    bool isSaturated() const;
     double drainRate() const; ///< Leases a second that the servers can end.
     /// Ages the request and grant counts of all organisations.
     void decayCounts(TimePoint now);
--- a/src/gateway/sharedqueuelink.cpp
+++ b/src/gateway/sharedqueuelink.cpp
@@ -14,19 +14,12 @@
 
 namespace {
 
-/// The queue owner answers a poll within this time, which shows that it is alive. About the latency
-/// objective of a request.
-constexpr Duration kLongPollTimeout = milliseconds(150);
-constexpr Duration kPollAnswerMargin =
-    milliseconds(150); ///< For the transfer of the poll's answer.
-constexpr Duration kUnresponsivePause = milliseconds(2000); // about the time of a restart
-constexpr std::uint32_t kMaxPauseDoublings = 4; ///< Limits the pause; some routers never come back.
-/// Queue owners tried for one request: each unresponsive one costs the request its latency
-/// objective.
-constexpr int kMaxOwnersAsked = 2;
 /// Time for a router to poll again after the answer Later; then its request is dropped.
 constexpr Duration kNextPollTimeout = milliseconds(400);
-constexpr Duration kReleaseTimeout = milliseconds(500); ///< Of the call that returns a lease.
+constexpr Duration kReleaseTimeout = milliseconds(500);   ///< Of the call that returns a lease.
+constexpr Duration kRetryAfterQueued = milliseconds(800); ///< About a burst of requests.
+constexpr std::size_t kMaxWithdrawn = 1024; ///< Some seconds of withdrawals of all routers.
+constexpr Duration kCountsLogInterval = milliseconds(5000);
 
 using Verdict = LeaseReply::Verdict;
 
@@ -105,7 +98,7 @@
 } // namespace
 
 SharedQueueLink::SharedQueueLink(SharedQueueLinkDependencies dependencies)
-    : m_dependencies(std::move(dependencies)),
+    : m_dependencies(std::move(dependencies)), m_pollTimer(m_dependencies.loop),
       // The start time keeps request ids of successive runs of one router apart.
       m_lastRequestId(hashOf(m_dependencies.self.name
                              + std::to_string(m_dependencies.clock().time_since_epoch().count())))
@@ -116,8 +109,7 @@
     return m_dependencies.routers.mostPreferred([this, now](const RouterInfo &router) {
         if (router.name == m_dependencies.self.name)
             return !m_stopping;
-        const auto unresponsive = m_unresponsive.find(router.address);
-        return unresponsive == m_unresponsive.end() || now >= unresponsive->second.skippedUntil;
+        return !m_ownerHealth.isSkipped(router.address, now);
     });
 }
 
@@ -139,14 +131,15 @@
     request.answerDeadline = now + requirements.answerWithin;
     request.onTimeDeadline = now + requirements.onTimeWithin;
     request.handler = std::move(handler);
-    request.ownersLeft = kMaxOwnersAsked;
+    request.callerDeadline = now + requirements.callerWithin;
+    request.requestedAt = now;
     submit(std::move(request), now);
 }
 
 void SharedQueueLink::submit(LocalRequest request, TimePoint now)
 {
     const auto owner = queueOwner(now);
-    if (!owner || request.ownersLeft-- == 0) {
+    if (!owner) {
         request.handler({});
         return;
     }
@@ -177,14 +170,18 @@
 void SharedQueueLink::pollOwner(const RouterInfo &owner, LocalRequest request, TimePoint now)
 {
     const auto endpoint = parseEndpoint(owner.address);
-    if (!endpoint) {
-        request.handler({});
+    const auto timeout = QueueOwnerHealth::pollTimeout(
+        {now - request.requestedAt, request.answerDeadline - now, request.isQueued});
+    if (!endpoint || !timeout) {
+        decideAlone(owner, request);
         return;
     }
     request.poll.limitMs = wholeMilliseconds(request.answerDeadline - now);
     request.poll.onTimeMs = wholeMilliseconds(request.onTimeDeadline - now);
+    if (request.poll.callerMs != 0)
+        request.poll.callerMs = wholeMilliseconds(request.callerDeadline - now);
     HttpCaller::Call call = makeCall(*endpoint, request.poll);
-    call.timeout = kLongPollTimeout + kPollAnswerMargin;
+    call.timeout = *timeout;
     // Shared because std::function requires a copyable handler.
     const auto shared = std::make_shared<LocalRequest>(std::move(request));
     m_dependencies.caller.start(std::move(call), [this, owner, shared](const CallAnswer &answer) {
@@ -192,16 +189,28 @@
     });
 }
 
+void SharedQueueLink::decideAlone(const RouterInfo &owner, const LocalRequest &request)
+{
+    LeaseReply reply;
+    if (request.isQueued) {
+        // The queue had no room for it, and the rest of its time is too short for an answer.
+        withdraw(owner, request);
+        reply.verdict = Verdict::Refused;
+        reply.retryAfter = kRetryAfterQueued;
+    }
+    request.handler(reply);
+}
+
 void SharedQueueLink::onUnresponsive(const RouterInfo &owner, const CallAnswer &answer,
                                      TimePoint now)
 {
-    UnresponsiveRouter &unresponsive = m_unresponsive[owner.address];
-    if (now < unresponsive.skippedUntil)
+    if (m_ownerHealth.isSkipped(owner.address, now))
         return;
-    unresponsive.skippedUntil = now
-        + kUnresponsivePause
-            * (1U << std::min(unresponsive.consecutiveFailures, kMaxPauseDoublings));
-    ++unresponsive.consecutiveFailures;
+    if (answer.status == 0 && answer.wasSent)
+        m_ownerHealth.onSilent(owner.address, now);
+    else
+        m_ownerHealth.onGone(owner.address, now);
+    m_dependencies.metrics.count("comfrey_place_keeper_lost_total", "");
     LogLine(m_dependencies.log, "place-keeper-lost", now)
         .add("router", owner.name)
         .add("status", answer.status)
@@ -217,15 +226,25 @@
     const TimePoint now = m_dependencies.clock();
     const auto message =
         answer.status == 200 ? decodeFlatBuffer<wire::PlaceAnswer>(answer.body) : std::nullopt;
+    if (!message && request.isQueued
+        && request.answerDeadline - now <= QueueOwnerHealth::kLastPlacementTime) {
+        // The poll ended before its time, so it does not show that the owner is silent.
+        decideAlone(owner, request);
+        return;
+    }
     if (!message) {
         onUnresponsive(owner, answer, now);
+        if (answer.wasSent)
+            withdraw(owner, request);
+        request.isQueued = false;
         submit(std::move(request), now);
         return;
     }
-    m_unresponsive.erase(owner.address);
+    m_ownerHealth.onAnswered(owner.address);
     LeaseReply reply;
     switch (message->verdict) {
     case wire::PlaceVerdict::Later:
+        request.isQueued = true;
         pollOwner(owner, std::move(request), now);
         return;
     case wire::PlaceVerdict::Granted:
@@ -243,6 +262,33 @@
     request.handler(reply);
 }
 
+void SharedQueueLink::withdraw(const RouterInfo &owner, const LocalRequest &request)
+{
+    const auto endpoint = parseEndpoint(owner.address);
+    if (!endpoint)
+        return;
+    wire::PlaceAskT message;
+    message.service = request.poll.service;
+    message.withdrawn.push_back(request.poll.wish);
+    HttpCaller::Call call = makeCall(*endpoint, message);
+    call.timeout = kReleaseTimeout;
+    // If the call fails, a lease that was granted meanwhile expires.
+    m_dependencies.caller.start(std::move(call), [](const CallAnswer &) {});
+}
+
+void SharedQueueLink::onWithdrawn(std::uint64_t requestId, const ServiceName &service,
+                                  TimePoint now)
+{
+    ServiceQueue &queue = refreshedQueue(service);
+    m_waitingRequests.erase(requestId);
+    queue.withdraw(requestId);
+    queue.releaseUnusedOf(requestId, now);
+    m_withdrawn.push_back(requestId);
+    if (m_withdrawn.size() > kMaxWithdrawn)
+        m_withdrawn.pop_front();
+    deliverDecisions(service, now);
+}
+
 void SharedQueueLink::releaseLease(const Lease &lease, LeaseOutcome outcome, TimePoint now)
 {
     if (lease.queueOwner.empty())
@@ -281,6 +327,8 @@
         refreshedQueue(service).release(freed->place, fromWire(freed->use), now);
         deliverDecisions(service, now);
     }
+    for (const std::uint64_t requestId : message->withdrawn)
+        onWithdrawn(requestId, ServiceName(message->service), now);
     if (message->wish != 0 && m_stopping && !m_waitingRequests.contains(message->wish))
         caller->respond(503, {{"Content-Type", "text/plain"}}, "this router stops\n", true);
     else if (message->wish != 0)
@@ -296,15 +344,19 @@
     const auto known = m_waitingRequests.find(poll.wish);
     if (known != m_waitingRequests.end()) {
         known->second.caller = caller;
-        known->second.pollDeadline = now + kLongPollTimeout;
+        known->second.pollDeadline = now + QueueOwnerHealth::kLongPollTime;
         if (const auto decision = std::exchange(known->second.decision, std::nullopt)) {
             deliver(known->second, *decision, now);
             m_waitingRequests.erase(known);
+        } else {
+            setPollTimer(known->second.pollDeadline, now);
         }
         return;
     }
     ServiceQueue &queue = refreshedQueue(service);
-    if (!queue.hasServers()) {
+    const bool isWithdrawn =
+        std::find(m_withdrawn.begin(), m_withdrawn.end(), poll.wish) != m_withdrawn.end();
+    if (!queue.hasServers() || isWithdrawn) {
         wire::PlaceAnswerT unknown;
         unknown.verdict = wire::PlaceVerdict::Unknown;
         answer(*caller, unknown);
@@ -313,7 +365,8 @@
     WaitingRequest &waiting = m_waitingRequests[poll.wish];
     waiting.service = service;
     waiting.caller = caller;
-    waiting.pollDeadline = now + kLongPollTimeout;
+    waiting.pollDeadline = now + QueueOwnerHealth::kFirstPollTime;
+    setPollTimer(waiting.pollDeadline, now);
     queue.enqueue(leaseRequestFrom(poll, now), now);
     deliverDecisions(service, now);
 }
@@ -330,7 +383,9 @@
 
 void SharedQueueLink::deliverDecisions(const ServiceName &service, TimePoint now)
 {
-    for (const LeaseDecision &decision : m_queues[service].decide(now)) {
+    const std::vector<LeaseDecision> decisions = m_queues[service].decide(now);
+    reportCounts(service, now);
+    for (const LeaseDecision &decision : decisions) {
         const auto found = m_waitingRequests.find(decision.requestId);
         if (found == m_waitingRequests.end()) {
             m_queues[service].release(decision.leaseId, LeaseOutcome::Unused, now);
@@ -350,6 +405,40 @@
     }
 }
 
+void SharedQueueLink::reportCounts(const ServiceName &service, TimePoint now)
+{
+    const ServiceQueue::Counts &counts = m_queues[service].counts();
+    ReportedCounts &reported = m_reported[service];
+    const std::string label = "service=\"" + service.value() + "\"";
+    const auto add = [&](const char *name, std::uint64_t value, std::uint64_t &counted) {
+        if (value != counted)
+            m_dependencies.metrics.count(name, label, value - std::exchange(counted, value));
+    };
+    add("comfrey_places_refused_at_once_total", counts.refusedAtOnce,
+        reported.counted.refusedAtOnce);
+    add("comfrey_places_displaced_total", counts.displaced, reported.counted.displaced);
+    add("comfrey_places_refused_late_total", counts.refusedLate, reported.counted.refusedLate);
+    add("comfrey_place_returns_total", counts.cameBack, reported.counted.cameBack);
+    add("comfrey_place_returns_early_total", counts.cameBackEarly, reported.counted.cameBackEarly);
+    ServiceQueue::Counts &logged = reported.logged;
+    const bool hasRefused = counts.refusedAtOnce != logged.refusedAtOnce
+        || counts.displaced != logged.displaced || counts.refusedLate != logged.refusedLate;
+    if (!hasRefused
+        || (reported.loggedAt != TimePoint::min() && now < reported.loggedAt + kCountsLogInterval))
+        return;
+    LogLine(m_dependencies.log, "places-refused", now)
+        .add("service", service.value())
+        .add("at_once", static_cast<std::int64_t>(counts.refusedAtOnce - logged.refusedAtOnce))
+        .add("displaced", static_cast<std::int64_t>(counts.displaced - logged.displaced))
+        .add("late", static_cast<std::int64_t>(counts.refusedLate - logged.refusedLate))
+        .add("came_back", static_cast<std::int64_t>(counts.cameBack - logged.cameBack))
+        .add("came_back_early",
+             static_cast<std::int64_t>(counts.cameBackEarly - logged.cameBackEarly))
+        .add("waiting", static_cast<std::int64_t>(m_queues[service].waitingCount()));
+    logged = counts;
+    reported.loggedAt = now;
+}
+
 void SharedQueueLink::deliver(WaitingRequest &waiting, const LeaseDecision &decision, TimePoint now)
 {
     if (waiting.handler) {
@@ -381,6 +470,37 @@
                        encodeFlatBuffer<wire::PlaceAnswer>(message));
 }
 
+void SharedQueueLink::answerDuePolls(TimePoint now)
+{
+    m_pollTimerAt = kNever;
+    TimePoint next = kNever;
+    for (auto &[requestId, waiting] : m_waitingRequests) {
+        if (waiting.caller && now >= waiting.pollDeadline) {
+            wire::PlaceAnswerT later;
+            later.verdict = wire::PlaceVerdict::Later;
+            answer(*waiting.caller, later);
+            waiting.caller = nullptr;
+        }
+        if (waiting.caller)
+            next = std::min(next, waiting.pollDeadline);
+    }
+    if (next != kNever)
+        setPollTimer(next, now);
+}
+
+void SharedQueueLink::setPollTimer(TimePoint deadline, TimePoint now)
+{
+    if (deadline >= m_pollTimerAt)
+        return;
+    m_pollTimerAt = deadline;
+    m_pollTimer.expires_after(
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(deadline - now));
+    m_pollTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            answerDuePolls(m_dependencies.clock());
+    });
+}
+
 void SharedQueueLink::tick(TimePoint now)
 {
     for (auto entry = m_waitingRequests.begin(); entry != m_waitingRequests.end();) {
@@ -396,14 +516,9 @@
             entry = m_waitingRequests.erase(entry);
             continue;
         }
-        if (waiting.caller && now >= waiting.pollDeadline) {
-            wire::PlaceAnswerT later;
-            later.verdict = wire::PlaceVerdict::Later;
-            answer(*waiting.caller, later);
-            waiting.caller = nullptr;
-        }
         ++entry;
     }
+    answerDuePolls(now);
     for (auto &[service, queue] : m_queues) {
         if (queue.waitingCount() == 0)
             continue;
--- a/src/gateway/sharedqueuelink.h
+++ b/src/gateway/sharedqueuelink.h
@@ -3,12 +3,17 @@
 // chooses servers without a lease.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "dispatch/queueownerhealth.h"
 #include "dispatch/replicatable.h"
 #include "gateway/leasesource.h"
 #include "generated/places.generated.h"
@@ -23,6 +28,7 @@
 /// Objects that SharedQueueLink uses; they must outlive it.
 struct SharedQueueLinkDependencies
 {
+    boost::asio::io_context &loop;
     HttpCaller &caller;
     const ReplicaTable &replicas;
     EventLog &log;
@@ -47,8 +53,8 @@
                       Handler handler) override;
     void releaseLease(const Lease &lease, LeaseOutcome outcome, TimePoint now) override;
 
-    /// Answers long polls that reach their deadline, drops abandoned requests and makes the
-    /// decisions that have become possible. To be called a few times a second.
+    /// Drops abandoned requests and makes the decisions that have become possible. To be called a
+    /// few times a second.
     void tick(TimePoint now);
     /// Refuses new lease requests of other routers, so that they turn to the next queue owner.
     /// Requests that already wait here still get their decision.
@@ -78,8 +84,10 @@
         wire::PlaceAskT poll;
         TimePoint answerDeadline; ///< The caller has left by then.
         TimePoint onTimeDeadline;
+        TimePoint callerDeadline; ///< Only if the caller said when it leaves.
+        TimePoint requestedAt;
+        bool isQueued = false; ///< An owner said that it waits in its queue.
         Handler handler;
-        int ownersLeft = 0; ///< How many more queue owners may be tried.
     };
 
     /// The first router in the fleet's shared order that is not unresponsive, so that all routers
@@ -88,15 +96,25 @@
     /// Enqueues the request if this router is the queue owner, otherwise polls the owner.
     void submit(LocalRequest request, TimePoint now);
     void pollOwner(const RouterInfo &owner, LocalRequest request, TimePoint now);
+    /// Refuses a request that waits in the owner's queue; any other is placed without a lease.
+    void decideAlone(const RouterInfo &owner, const LocalRequest &request);
     void onPollAnswer(const RouterInfo &owner, LocalRequest request, const CallAnswer &answer);
-    /// Skips the router as queue owner for a pause that doubles with each consecutive failure.
+    /// Skips the router as queue owner for a while.
     void onUnresponsive(const RouterInfo &owner, const CallAnswer &answer, TimePoint now);
+    /// Tells the owner that this router waits for the request no longer.
+    void withdraw(const RouterInfo &owner, const LocalRequest &request);
+    void onWithdrawn(std::uint64_t requestId, const ServiceName &service, TimePoint now);
     void onPoll(const std::shared_ptr<CallerConnection> &caller, const wire::PlaceAskT &poll,
                 TimePoint now);
     /// The queue of the service, with its present list of servers.
     ServiceQueue &refreshedQueue(const ServiceName &service);
     /// Makes all decisions that are possible now and sends them to the routers that wait for them.
     void deliverDecisions(const ServiceName &service, TimePoint now);
+    /// Answers polls with Later that have reached their deadline, and sets the timer for the next.
+    void answerDuePolls(TimePoint now);
+    void setPollTimer(TimePoint deadline, TimePoint now);
+    /// Adds what the queue counted since the last call to the metrics, and logs it once in a while.
+    void reportCounts(const ServiceName &service, TimePoint now);
     void deliver(WaitingRequest &waiting, const LeaseDecision &decision, TimePoint now);
     void answer(CallerConnection &caller, const wire::PlaceAnswerT &answer);
     HttpCaller::Call makeCall(const BackendConnection::Endpoint &to,
@@ -105,15 +123,20 @@
     SharedQueueLinkDependencies m_dependencies;
     CallerLimits m_limits;
     std::map<ServiceName, ServiceQueue> m_queues;
-    std::map<std::uint64_t, WaitingRequest> m_waitingRequests; ///< By request id.
-    /// A router that did not answer a poll; it is not chosen as queue owner for a while.
-    struct UnresponsiveRouter
+    struct ReportedCounts
     {
-        TimePoint skippedUntil;
-        std::uint32_t consecutiveFailures = 0;
+        ServiceQueue::Counts counted; ///< In the metrics.
+        ServiceQueue::Counts logged;
+        TimePoint loggedAt = TimePoint::min();
     };
 
-    std::map<std::string, UnresponsiveRouter> m_unresponsive; ///< By address.
+    std::map<ServiceName, ReportedCounts> m_reported;
+    std::map<std::uint64_t, WaitingRequest> m_waitingRequests; ///< By request id.
+    QueueOwnerHealth m_ownerHealth;
+    boost::asio::steady_timer m_pollTimer;
+    TimePoint m_pollTimerAt = kNever; ///< When the timer expires; kNever: it is not set.
+    /// Ids of requests that were withdrawn before their poll arrived, the oldest first; bounded.
+    std::deque<std::uint64_t> m_withdrawn;
     bool m_stopping = false;
     std::uint64_t m_lastRequestId;
 };
