Admission to engines: requests are sent, held or refused by the room that the fleet has

Cause: engines' room was nobody's decision; who was served followed from arrival, and a refusal came after seconds. Change: ProxiedRequest asks the dispatcher before its first attempt at an engine; where the configuration tells the engines' slots and they are nearly full, less urgent requests are held for 80 ms at most or refused with a Retry-After. Limits start lower when engines become nearly full, targets follow the waits, callers who are refused come back after the overload where they can. Log lines engines-nearly-full and engines-have-room, four metrics.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -21,7 +21,7 @@
 
 Dispatcher::Dispatcher(const DispatcherSettings &settings)
     : m_settings(settings), m_replicas(settings.relistTimeout), m_crashAttribution(settings.router),
-      m_random(settings.seed)
+      m_random(settings.seed), m_engineAdmission(settings.seed)
 { }
 
 bool Dispatcher::apply(FleetConfig config)
@@ -88,6 +88,74 @@
     return changes;
 }
 
+EngineRoom Dispatcher::engineRoom(const ServiceName &serviceName, TimePoint now)
+{
+    EngineRoom room;
+    const ServiceTraits *traits = m_table ? m_table->findService(serviceName) : nullptr;
+    if (!traits || !traits->engine)
+        return room;
+    room.largestMemory = traits->engine->cacheTokens;
+    room.meanSlotTime =
+        Duration(static_cast<std::int64_t>(service(serviceName).smoothedDurationUs));
+    for (const auto &replica : m_replicas.serving(serviceName)) {
+        if (now < replica->pausedUntil || replica->health.isUnreachable(now))
+            continue;
+        room.load += replica->load.estimate(now);
+        room.slots += traits->engine->slots;
+        room.local += replica->load.localInFlight();
+    }
+    return room;
+}
+
+EngineVerdict Dispatcher::askForEngine(const RequestFacts &request, const Admission &admission,
+                                       TimePoint arrivedAt, TimePoint deadline, TimePoint now)
+{
+    const EngineRoom room = engineRoom(admission.service, now);
+    if (room.slots <= 0)
+        return {};
+    const Route &route = *admission.route;
+    EngineAsk ask;
+    ask.id = request.id;
+    ask.service = admission.service;
+    ask.priority = route.priority;
+    if (admission.organisation) {
+        ask.priority = admission.organisation->priority.value_or(route.priority);
+        ask.organisation = admission.organisation->name;
+    }
+    ask.arrivedAt = arrivedAt;
+    // Callers who come back have less time left than the route gives to new ones.
+    if (request.callerTimeout)
+        ask.age = std::max(Duration(0), route.timeout - *request.callerTimeout);
+    ask.objective = route.objective;
+    ask.deadline = deadline;
+    ask.work = m_workEstimator.estimate(route.name, request);
+    return m_engineAdmission.ask(ask, room, now);
+}
+
+void Dispatcher::withdrawFromEngines(const RequestFacts &request, const Admission &admission)
+{
+    m_engineAdmission.withdraw(admission.service, request.id);
+}
+
+void Dispatcher::onFirstToken(const RequestFacts &request, const Admission &admission,
+                              Duration waited, TimePoint now)
+{
+    if (request.prompt.empty() || admission.route->objective <= Duration(0))
+        return;
+    m_workEstimator.onFirstToken(admission.route->name, request, waited);
+    m_engineAdmission.onFirstToken(admission.service,
+                                   static_cast<double>(waited.count())
+                                       / static_cast<double>(admission.route->objective.count()),
+                                   now);
+}
+
+void Dispatcher::onEngineAnswerEnded(const RequestFacts &request, const Admission &admission,
+                                     Duration duration)
+{
+    if (!request.prompt.empty())
+        m_workEstimator.onAnswerEnded(admission.route->name, request, duration);
+}
+
 Choice Dispatcher::choose(const RequestFacts &request, const ServiceName &serviceName,
                           const std::vector<std::string> &tried, TimePoint now)
 {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "dispatch/crashguard.h"
+#include "dispatch/engineadmission.h"
 #include "dispatch/replicachooser.h"
 #include "dispatch/replicatable.h"
 #include "dispatch/requestfacts.h"
@@ -80,6 +81,18 @@
     /// Checks the route, the API key and the quarantine of a request and picks its service. An
     /// admitted request adds to the retry budget of the service.
     Admission admit(const RequestFacts &request, TimePoint now);
+    /// Whether a request with a prompt may be sent to an engine now. Where the configuration does
+    /// not tell the engines' slots, always. `arrivedAt` and `deadline` are the request's here.
+    EngineVerdict askForEngine(const RequestFacts &request, const Admission &admission,
+                               TimePoint arrivedAt, TimePoint deadline, TimePoint now);
+    /// A request that was held does not ask again.
+    void withdrawFromEngines(const RequestFacts &request, const Admission &admission);
+    /// The first token of an engine's answer came `waited` after the request was sent.
+    void onFirstToken(const RequestFacts &request, const Admission &admission, Duration waited,
+                      TimePoint now);
+    /// An engine's answer ended whole, `duration` after the request was sent.
+    void onEngineAnswerEnded(const RequestFacts &request, const Admission &admission,
+                             Duration duration);
     /// Chooses a server for the request, except the incarnations in `tried`. The replica is null if
     /// no server is left.
     Choice choose(const RequestFacts &request, const ServiceName &service,
@@ -170,6 +183,8 @@
     /// rate of all routers within what cold servers can take. Returns the number removed.
     std::uint32_t excludeColdServers(const ServiceName &service,
                                      std::vector<std::shared_ptr<Replica>> &list, TimePoint now);
+    /// What this router knows of the room at the service's engines.
+    EngineRoom engineRoom(const ServiceName &service, TimePoint now);
     /// Chooses an engine with the fleet-wide number of requests for the prompt.
     Choice chooseForPrompt(const RequestFacts &request, ChoiceInput &input, TimePoint now) const;
 
@@ -185,6 +200,8 @@
     PromptChooser m_promptChooser;
     ShortestWaitChooser m_waitChooser;
     std::mt19937_64 m_random;
+    ShareAdmission m_engineAdmission;
+    WorkEstimator m_workEstimator;
 };
 
 } // namespace comfrey
--- a/src/dispatch/engineadmission.cpp
+++ b/src/dispatch/engineadmission.cpp
@@ -13,10 +13,10 @@
 
 /// Share of the slots that may be taken. The rest takes up the unevenness of placement and what
 /// routers do not know of each other yet.
-constexpr double kTargetShare = 0.75;
-constexpr double kMinTargetShare = 0.6;
+constexpr double kTargetShare = 0.85;
+constexpr double kMinTargetShare = 0.7;
 /// Nobody is refused below this share of the slots: a half, and what the news may be late by.
-constexpr double kAlwaysSentShare = 0.55;
+constexpr double kAlwaysSentShare = 0.65;
 /// The service is nearly full from this part of its target on, until the second one.
 constexpr double kEnterShare = 0.8;
 constexpr double kLeaveShare = 0.65;
@@ -29,6 +29,8 @@
 constexpr double kCorrectionGain = 1.5;
 constexpr double kMinCorrection = 0.05;
 constexpr double kUrgentCorrection = 0.3; ///< Below it the most urgent are limited too.
+/// When engines become nearly full, their load has grown since the news that say so.
+constexpr double kEntryCorrection = 0.75;
 constexpr double kMaxCorrection = 1.3;
 constexpr double kGrowthPrior = 3; ///< Requests; keeps chance at few of them from counting much.
 constexpr double kMinGrowth = 0.7;
@@ -39,8 +41,8 @@
 constexpr Duration kMaxUpdateStep = milliseconds(500);
 /// Limits of the most and the least urgent priority as multiples of the router's share.
 constexpr double kUrgentFactor = 4;
-constexpr double kNextFactor = 1; ///< Of the second most urgent priority.
-constexpr double kLeastFactor = 0.7;
+constexpr double kNextFactor = 1.2; ///< Of the second most urgent priority.
+constexpr double kLeastFactor = 0.8;
 constexpr double kOverShareCut = 0.3; ///< Part of the factor that organisations over share lose.
 /// An organisation is over its share if it asks for this multiple of its usual.
 constexpr double kOverShareFactor = 2;
@@ -51,14 +53,18 @@
 constexpr double kMinSentShare = 0.3;
 constexpr double kMinAsked = 3; ///< Fewer requests say nothing about the share.
 
+constexpr double kMinWork = 0.25; ///< Limits on the work of one request, in mean requests.
+constexpr double kMaxWork = 2;
+
 constexpr Duration kMaxHold = milliseconds(80); ///< A refusal must be told within 100 ms.
 constexpr int kHoldParts = 8;                   ///< Longest hold as a part of the objective.
 constexpr Duration kAskInterval = milliseconds(20);
 constexpr std::size_t kMaxHeld = 32;
 constexpr Duration kMinReturn = milliseconds(200);
-constexpr int kReturnParts = 3; ///< Callers come back within this part of their time left.
+constexpr int kReturnParts = 3;        ///< Callers come back within this part of their time left.
+constexpr double kMinLateReturn = 0.9; ///< Part of that time, for those who return at its end.
 constexpr double kReturnRateShare =
-    0.5; ///< Share of the drain rate that is left to callers who come back.
+    0.1; ///< Share of the drain rate that is left to callers who come back.
 
 double seconds(Duration duration)
 {
@@ -76,6 +82,17 @@
     return static_cast<double>(hashOf(id) % 1024) / 1024;
 }
 
+/// Room that a request needs beside those that run: more the longer it occupies a slot, and drawn,
+/// so that limits of parts of a request are kept on average.
+double neededRoom(const EngineAsk &request, const EngineRoom &room)
+{
+    if (request.work.slotTime <= Duration(0) || room.meanSlotTime <= Duration(0))
+        return drawnFor(request.id);
+    return drawnFor(request.id)
+        * std::clamp(seconds(request.work.slotTime) / seconds(room.meanSlotTime), kMinWork,
+                     kMaxWork);
+}
+
 /// Requests of this router that end in a second.
 double drainRate(const EngineRoom &room)
 {
@@ -124,8 +141,11 @@
         (room.local + kGrowthPrior) / (service.localRecent + kGrowthPrior), kMinGrowth, kMaxGrowth);
     const double load = room.load * growth;
     service.load = std::min(load, room.load);
+    const bool wasNearlyFull = service.isNearlyFull;
     service.proportion = load > 0 ? std::clamp(target / load, kMinProportion, 1.0) : 1;
     service.isNearlyFull = load >= (service.isNearlyFull ? kLeaveShare : kEnterShare) * target;
+    if (service.isNearlyFull && !wasNearlyFull)
+        service.correction = std::min(service.correction, kEntryCorrection);
     const double distance = service.isNearlyFull && load > 0
         ? std::clamp(target / load - 1, -1.0, 1.0)
         : 1 - service.correction;
@@ -230,7 +250,7 @@
         service.lastReturnAt = next;
         verdict.retryAfter = next - now;
     } else {
-        std::uniform_real_distribution<double> spread(0.5, 1);
+        std::uniform_real_distribution<double> spread(kMinLateReturn, 1);
         verdict.retryAfter = std::max(kMinReturn, fromSeconds(seconds(latest) * spread(m_random)));
     }
     verdict.answer = EngineVerdict::Answer::Refuse;
@@ -244,7 +264,10 @@
     if (room.slots <= 0)
         return verdict;
     Service &service = m_services[request.service];
+    const bool wasNearlyFull = service.isNearlyFull;
     update(service, room, now);
+    verdict.isNearlyFull = service.isNearlyFull;
+    verdict.hasChanged = service.isNearlyFull != wasNearlyFull;
     std::erase_if(service.held, [now](const HeldRequest &held) { return held.until < now; });
     const auto own = std::find_if(service.held.begin(), service.held.end(),
                                   [&](const HeldRequest &held) { return held.id == request.id; });
@@ -280,7 +303,7 @@
         std::count_if(service.held.begin(), service.held.end(), [&](const HeldRequest &held) {
             return held.id != request.id && held.order < order;
         });
-    if (room.local + static_cast<double>(ahead) + drawnFor(request.id) < verdict.limit)
+    if (room.local + static_cast<double>(ahead) + neededRoom(request, room) < verdict.limit)
         return send(service, request, verdict, now);
 
     const TimePoint holdEnd =
--- a/src/dispatch/engineadmission.h
+++ b/src/dispatch/engineadmission.h
@@ -50,6 +50,8 @@
     double load = 0;  ///< Known share of the slots that is taken.
     double limit = 0; ///< Local requests up to which this one would be sent; 0: not limited.
     double local = 0;
+    bool hasChanged = false;   ///< The service became nearly full with this ask, or has room again.
+    bool isNearlyFull = false; ///< Only then are requests held, or refused for lack of room.
 };
 
 /// Admission to the engines of all services.
--- a/src/dispatch/workestimate.cpp
+++ b/src/dispatch/workestimate.cpp
@@ -40,7 +40,6 @@
 void WorkEstimator::onAnswerEnded(const std::string &route, const RequestFacts &request,
                                   Duration duration)
 {
-    smooth(m_meanSlotTimeUs, static_cast<double>(duration.count()));
     if (m_routes.size() >= kMaxRoutes && m_routes.count(route) == 0)
         return;
     Learnt &learnt = m_routes[route];
@@ -65,9 +64,4 @@
     return work;
 }
 
-Duration WorkEstimator::meanSlotTime() const
-{
-    return fromMicroseconds(m_meanSlotTimeUs);
-}
-
 } // namespace comfrey
--- a/src/dispatch/workestimate.h
+++ b/src/dispatch/workestimate.h
@@ -29,8 +29,6 @@
     void onAnswerEnded(const std::string &route, const RequestFacts &request, Duration duration);
     /// The expected work of a request.
     WorkEstimate estimate(const std::string &route, const RequestFacts &request) const;
-    /// Smoothed mean slot time over all routes; zero before the first answer.
-    Duration meanSlotTime() const;
 
 private:
     struct Learnt
@@ -42,7 +40,6 @@
     };
 
     std::map<std::string, Learnt> m_routes; ///< Bounded by kMaxRoutes.
-    double m_meanSlotTimeUs = 0;
 };
 
 } // namespace comfrey
--- a/src/gateway/proxiedrequest.cpp
+++ b/src/gateway/proxiedrequest.cpp
@@ -74,7 +74,7 @@
                                HttpHead head, std::string body)
     : m_gateway(gateway), m_caller(std::move(caller)), m_head(std::move(head)),
       m_body(std::make_shared<const std::string>(std::move(body))), m_arrivedAt(gateway.now()),
-      m_timer(gateway.dependencies().loop)
+      m_timer(gateway.dependencies().loop), m_holdTimer(gateway.dependencies().loop)
 { }
 
 void ProxiedRequest::start()
@@ -161,6 +161,8 @@
         refuseForPause(*pause, now);
         return;
     }
+    if (!m_facts.prompt.empty() && m_triedIncarnations.empty() && !mayUseEngine(now))
+        return;
     const LeaseSource *leaseSource = m_gateway.dependencies().leaseSource;
     const bool isPlain = m_facts.prompt.empty() && m_admission.route->kind != RouteKind::Stream;
     if (leaseSource && isPlain && leaseSource->isShared(m_admission.service, now))
@@ -170,6 +172,44 @@
                      now);
 }
 
+bool ProxiedRequest::mayUseEngine(TimePoint now)
+{
+    const EngineVerdict verdict =
+        dispatcher().askForEngine(m_facts, m_admission, m_arrivedAt, m_deadline, now);
+    const std::string service = "service=\"" + m_admission.service.value() + "\"";
+    Metrics &metrics = m_gateway.dependencies().metrics;
+    if (verdict.hasChanged) {
+        LogLine(m_gateway.dependencies().log,
+                verdict.isNearlyFull ? "engines-nearly-full" : "engines-have-room", now)
+            .add("service", m_admission.service.value())
+            .add("taken_percent", static_cast<std::int64_t>(verdict.load * 100))
+            .add("local_requests", static_cast<std::int64_t>(verdict.local));
+        metrics.count("comfrey_engines_nearly_full_changes_total", service);
+    }
+    const bool wasHeld = std::exchange(m_isHeld, verdict.answer == EngineVerdict::Answer::Hold);
+    if (verdict.answer == EngineVerdict::Answer::Send) {
+        if (wasHeld)
+            metrics.observe("comfrey_engine_hold_seconds", service, now - m_arrivedAt);
+        return true;
+    }
+    if (verdict.answer == EngineVerdict::Answer::Refuse) {
+        metrics.count("comfrey_engine_refusals_total",
+                      service + ",reason=\"" + verdict.reason + "\"");
+        refuse(503, verdict.reason, verdict.retryAfter);
+        return false;
+    }
+    if (!wasHeld)
+        metrics.count("comfrey_engine_holds_total", service);
+    m_holdTimer.expires_after(
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(verdict.askAgainAt - now));
+    m_holdTimer.async_wait(
+        [this, self = shared_from_this()](const boost::system::error_code &error) {
+            if (!error && m_caller)
+                startAttempt();
+        });
+    return false;
+}
+
 void ProxiedRequest::requestLease(TimePoint now)
 {
     const Route &route = *m_admission.route;
@@ -340,6 +380,7 @@
         if (m_isAwaitingAnswer) {
             m_isAwaitingAnswer = false;
             dispatcher().onAnswer(*m_replica, now - m_sentAt, now);
+            dispatcher().onFirstToken(m_facts, m_admission, now - m_sentAt, now);
         }
         m_relay = Relay::Stream;
         m_isEventStream = continuesStream && m_head.method != "HEAD";
@@ -512,6 +553,7 @@
             m_caller->writeBody(m_eventSplitter.incompleteEvent()); // Line ends at most.
             m_eventSplitter.discardIncompleteEvent();
         }
+        dispatcher().onEngineAnswerEnded(m_facts, m_admission, now - m_sentAt);
         completeAttempt(now);
         reportSoundAnswer();
         dispatcher().crashGuard().onSuccess(m_facts.fingerprint);
@@ -775,6 +817,9 @@
     m_gateway.dependencies().metrics.observe(
         "comfrey_request_seconds", "route=\"" + std::string(route) + "\"", now - m_arrivedAt);
     m_timer.cancel();
+    m_holdTimer.cancel();
+    if (std::exchange(m_isHeld, false))
+        dispatcher().withdrawFromEngines(m_facts, m_admission);
     m_caller = nullptr;
     m_gateway.removeRequest(shared_from_this());
 }
--- a/src/gateway/proxiedrequest.h
+++ b/src/gateway/proxiedrequest.h
@@ -71,6 +71,9 @@
     /// Chooses a server and sends the request to it. A service with a shared queue needs a lease
     /// first.
     void startAttempt();
+    /// Asks whether an engine has room. True if the request may be sent now; otherwise it was
+    /// refused, or is held and starts its attempt later.
+    bool mayUseEngine(TimePoint now);
     /// Requests a lease from the owner of the service's shared queue.
     void requestLease(TimePoint now);
     /// Sends to the leased server. Without a queue owner this router chooses a server itself.
@@ -137,6 +140,8 @@
     TimePoint m_arrivedAt;
     TimePoint m_deadline = kNever; ///< Nobody waits for an answer after it.
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_holdTimer;
+    bool m_isHeld = false; ///< Waits for room at an engine.
 
     std::shared_ptr<Replica> m_replica;   ///< Of the current attempt; null between attempts.
     BackendPool::Connection m_connection; ///< Null between attempts.
--- a/tests/engineoverloadtest.cpp
+++ b/tests/engineoverloadtest.cpp
@@ -8,7 +8,12 @@
 
 namespace {
 
+constexpr double kMinUrgentOnTime = 0.95;
 constexpr double kMaxWastedWork = 0.03;
+constexpr double kMinOrganisationShare = 0.25;
+constexpr Duration kMaxRefusalTime = milliseconds(100);
+constexpr double kWorkThatFits = 0.9; ///< Of the slots, by the most urgent kind alone.
+constexpr std::uint64_t kSeeds = 3;
 
 void setTimes(OverloadLoad &load)
 {
@@ -36,6 +41,17 @@
     return load;
 }
 
+/// 295 routers before 192 engines of 12 slots; the most urgent kind needs the most work.
+OverloadLoad drawings(double factor)
+{
+    OverloadLoad load;
+    load.placement.hotFactor = factor;
+    setTimes(load);
+    load.readTokensPerMs = 157;
+    load.callers = {{0, milliseconds(10000)}, {1, milliseconds(10000)}, {2, milliseconds(2500)}};
+    return load;
+}
+
 OverloadResult play(OverloadLoad load, std::uint64_t seed)
 {
     load.placement.seed = seed;
@@ -48,11 +64,21 @@
 class EngineOverloadTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(EngineOverloadTest);
+    CPPUNIT_TEST(twiceTheUsualServesTheUrgentOnTime);
+    CPPUNIT_TEST(manyTimesTheUsualServesTheUrgentOnTime);
+    CPPUNIT_TEST(urgentLongWorkIsServedBeforeTheRest);
+    CPPUNIT_TEST(twiceTheUsualServesTheUrgentOnTime);
+    CPPUNIT_TEST(manyTimesTheUsualServesTheUrgentOnTime);
+    CPPUNIT_TEST(urgentLongWorkIsServedBeforeTheRest);
     CPPUNIT_TEST(loadWithoutAdmissionMissesTheGoals);
     CPPUNIT_TEST(usualLoadIsSentAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void twiceTheUsualServesTheUrgentOnTime() { checkGoals(summaries(2)); }
+    void manyTimesTheUsualServesTheUrgentOnTime() { checkGoals(summaries(2.6)); }
+    void urgentLongWorkIsServedBeforeTheRest() { checkGoals(drawings(2)); }
+
     /// Shows that the load is hard enough: as long as every request is sent on at once.
     void loadWithoutAdmissionMissesTheGoals()
     {
@@ -71,6 +97,35 @@
         CPPUNIT_ASSERT_MESSAGE(result.summary(),
                                result.all().refused == 0 && result.longestRefusal == Duration(0));
     }
+
+private:
+    static void checkGoals(const OverloadLoad &load)
+    {
+        std::string failures;
+        for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+            const OverloadResult result = play(load, seed);
+            const OverloadCounts &urgent = result.kinds.front();
+            std::string missed;
+            if (result.urgentWorkShare <= kWorkThatFits && urgent.onTimeShare() < kMinUrgentOnTime)
+                missed += " urgent late,";
+            for (std::size_t kind = 1; kind < result.kinds.size(); ++kind) {
+                if (result.kinds[kind].servedShare() > result.kinds[kind - 1].servedShare() + 0.05)
+                    missed += " served worse than the less urgent,";
+            }
+            if (result.longestRefusal > kMaxRefusalTime)
+                missed += " refused late,";
+            if (result.worstOrganisation() < kMinOrganisationShare)
+                missed += " an organisation starved,";
+            if (result.wastedWorkShare >= kMaxWastedWork)
+                missed += " work for nobody,";
+            if (result.refusedWithRoom > 0 || result.calmRefused > 0)
+                missed += " refused with room,";
+            if (!missed.empty())
+                failures +=
+                    "seed " + std::to_string(seed) + ":" + missed + " " + result.summary() + "\n";
+        }
+        CPPUNIT_ASSERT_MESSAGE(failures, failures.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EngineOverloadTest);
--- a/tests/support/overloadsimulation.h
+++ b/tests/support/overloadsimulation.h
@@ -111,6 +111,7 @@
     {
         std::unique_ptr<ShareAdmission> admission;
         WorkEstimator work;
+        double slotTimeUs = 0; ///< Smoothed, as the dispatcher's.
     };
 
     void sendChat(Chat chat, TimePoint now) override;
