--- a/src/dispatch/engineadmission.h
+++ b/src/dispatch/engineadmission.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "comfrey/ids.h"
@@ -116,7 +117,11 @@
         bool isOverShare = false;
         TimePoint latestStart; ///< Later, its first token would be late.
         std::uint64_t sequence = 0;
-        auto operator<=>(const Order &) const = default;
+        bool operator<(const Order &other) const
+        {
+            return std::tie(priority, isOverShare, latestStart, sequence)
+                < std::tie(other.priority, other.isOverShare, other.latestStart, other.sequence);
+        }
     };
     struct HeldRequest
     {
