--- a/src/dispatch/servicequeue.h
+++ b/src/dispatch/servicequeue.h
@@ -14,6 +14,7 @@
 #include <list>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "comfrey/units.h"
@@ -154,7 +155,11 @@
         std::uint8_t rank = 0;   ///< Kept requests, then returns that were told when, then others.
         double grantedRatio = 0; ///< Of the organisation.
 
-        auto operator<=>(const Place &other) const = default;
+        bool operator<(const Place &other) const
+        {
+            return std::tie(timeClass, priority, rank, grantedRatio)
+                < std::tie(other.timeClass, other.priority, other.rank, other.grantedRatio);
+        }
     };
 
     /// Number of leases at the server, also if it is not in the list of servers.
