--- a/tools/comfreyctl/storeclient.cpp
+++ b/tools/comfreyctl/storeclient.cpp
@@ -22,7 +22,7 @@
     for (const nlohmann::json &item : page.value("items", nlohmann::json::array())) {
         if (!item.is_object() || item.value("key", "") != kConfigKey)
             continue;
-        const Result<Bytes> value = decodeBase64(item.value("value", ""));
+        const auto value = decodeBase64(item.value("value", ""));
         if (!value)
             return tl::make_unexpected(value.error());
         return std::string(value->begin(), value->end());
