One account of memory and sockets for callers; crowds end no process

Cause: each connection could hold a body of max_body_bytes, a head of tiny fields 16 times its bytes, and answers of pipelined requests without bound; nothing added them up. A refused body was kept for a second, and nothing bounded callers' and servers' sockets together.

Change: CallerAccount (src/memory, no I/O) counts what is held; half of limits.memory_mb (comfreyd: router.memory_mb, default 512) may be held. Requests that are not whole give way, longest without progress first (503, not run), then readers that take nothing; requests in flight never do. A caller with over 128 KiB unread waits with its next request. Bodies are not copied into the server's socket writer; parts of heads are counted by their fields.

./run test plays crowdtests by itself after all other steps.

--- a/src/daemon/backendclient.cpp
+++ b/src/daemon/backendclient.cpp
@@ -21,7 +21,10 @@
 constexpr Duration kIdleLimit = milliseconds(5000);     // engines close idle connections later
 constexpr std::uint32_t kMaxHeaderBytes = 16384;
 
-constexpr BackendConnectionLimits kLimits{kConnectTimeout, kSilentLimit, kMaxHeaderBytes};
+BackendConnectionLimits limitsWith(std::shared_ptr<CallerAccount> account)
+{
+    return {kConnectTimeout, kSilentLimit, kMaxHeaderBytes, std::move(account)};
+}
 
 constexpr std::uint64_t kLargest = std::numeric_limits<std::uint64_t>::max();
 
@@ -122,11 +125,13 @@
 } // namespace
 
 BackendClient::BackendClient(TrafficLoop &loop, ExchangeTable &exchanges, EventSink &sink,
-                             const ProcessClock &clock)
+                             const ProcessClock &clock,
+                             const std::shared_ptr<CallerAccount> &account)
     : m_loop(loop), m_exchanges(exchanges), m_sink(sink),
-      m_pool(loop.context(), kLimits, kIdleLimit), m_parts{loop.context(), m_pool, kLimits, sink,
-                                                           clock},
-      m_caller(loop.context(), kLimits, [&clock] { return clock.now(); })
+      m_pool(loop.context(), limitsWith(account), kIdleLimit), m_parts{loop.context(), m_pool,
+                                                                       limitsWith(account), sink,
+                                                                       clock},
+      m_caller(loop.context(), limitsWith(nullptr), [&clock] { return clock.now(); })
 {
     loop.addSweep([this, &clock] {
         m_pool.sweep(clock.now());
--- a/src/daemon/backendclient.h
+++ b/src/daemon/backendclient.h
@@ -17,7 +17,7 @@
 {
 public:
     BackendClient(TrafficLoop &loop, ExchangeTable &exchanges, EventSink &sink,
-                  const ProcessClock &clock);
+                  const ProcessClock &clock, const std::shared_ptr<CallerAccount> &account);
 
     // From any thread; orders of one thread take effect in their order.
     void send(const SendToBackend &order);
--- a/src/daemon/callerserver.cpp
+++ b/src/daemon/callerserver.cpp
@@ -3,17 +3,19 @@
 
 #include <future>
 
+#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
 namespace comfrey {
 
 namespace {
 
-constexpr std::size_t kSpareConnections = 512; // idle ones, and those that only get a refusal
 constexpr Duration kHeaderTimeout =
     milliseconds(5000);                               // a slow caller holds a connection no longer
 constexpr Duration kIdleTimeout = milliseconds(5000); // as the balancer's own
 constexpr std::chrono::milliseconds kStopPoll{10};
+constexpr std::chrono::milliseconds kStateLimit{1000}; // operators ask again
+constexpr unsigned kTooBusy = 503;
 constexpr Duration kBusyRetry = milliseconds(1000); // some of the chats have ended by then
 
 AnswerCaller refusal(CallerError error, std::string text)
@@ -40,11 +42,12 @@
 
 CallerServer::CallerServer(const CallerServerOptions &options, TrafficLoop &loop,
                            ExchangeTable &exchanges, EventSink &sink, CallerDirectory &directory,
-                           const ProcessClock &clock)
+                           const ProcessClock &clock, std::shared_ptr<CallerAccount> account)
     : m_options(options), m_loop(loop), m_exchanges(exchanges), m_sink(sink),
       m_directory(directory), m_listener(
                                   loop.context(), *this, [&clock] { return clock.now(); },
-                                  options.maxRequests + kSpareConnections)
+                                  account->limits().sockets + CallerAccount::kSpareSockets),
+      m_clock(clock), m_account(std::move(account))
 {
     m_limits.maxBodyBytes = options.maxBodyBytes;
     m_limits.headerTimeout = kHeaderTimeout;
@@ -113,10 +116,51 @@
     if (status == tooLarge)
         answer = refusal(CallerError::TooLarge,
                          "the body is over " + std::to_string(m_options.maxBodyBytes) + " bytes");
+    if (status == kTooBusy) {
+        ++m_refused;
+        answer = refusal(CallerError::OutOfContract, std::string(reason));
+    }
+    if (m_refusalLines.allows(m_clock.now())) {
+        LOG(INFO) << "event=request-unreadable status=" << status << " reason=\"" << reason
+                  << "\" lines_left_out=" << m_refusalLines.takeLeftOut();
+    }
     CallerResponse response = errorResponse(nextRequestId(), answer);
     return {std::move(response.fields), std::move(response.body)};
 }
 
+void CallerServer::onCallerClosed(Shortage shortage)
+{
+    const bool isMemory = shortage == Shortage::Memory;
+    ++(isMemory ? m_closedForMemory : m_closedForDescriptors);
+    if (m_refusalLines.allows(m_clock.now())) {
+        LOG(INFO) << "event=caller-closed reason=" << (isMemory ? "memory" : "descriptors")
+                  << " lines_left_out=" << m_refusalLines.takeLeftOut();
+    }
+}
+
+nlohmann::json CallerServer::accountState()
+{
+    auto state = std::make_shared<std::promise<nlohmann::json>>();
+    auto reply = state->get_future();
+    m_loop.post([this, state] {
+        nlohmann::json held;
+        for (std::size_t index = 0; index < kHeldKinds; ++index) {
+            const auto kind = static_cast<HeldKind>(index);
+            held[textOf(kind)] = m_account->held(kind);
+        }
+        state->set_value({{"held_bytes", held},
+                          {"held_bytes_limit", m_account->limits().bytes},
+                          {"sockets", m_account->sockets()},
+                          {"sockets_limit", m_account->limits().sockets},
+                          {"refused", m_refused},
+                          {"closed_for_memory", m_closedForMemory},
+                          {"closed_for_descriptors", m_closedForDescriptors}});
+    });
+    if (reply.wait_for(kStateLimit) != std::future_status::ready)
+        return nlohmann::json::object();
+    return reply.get();
+}
+
 void CallerServer::refuse(CallerConnection &caller, CallerError error, std::string text)
 {
     CallerResponse response = errorResponse(nextRequestId(), refusal(error, std::move(text)));
--- a/src/daemon/callerserver.h
+++ b/src/daemon/callerserver.h
@@ -8,6 +8,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "comfrey/ids.h"
 #include "daemon/callerrequest.h"
 #include "daemon/callersession.h"
@@ -15,6 +17,7 @@
 #include "daemon/exchangetable.h"
 #include "daemon/processclock.h"
 #include "daemon/trafficloop.h"
+#include "telemetry/linerate.h"
 #include "traffic/callerlistener.h"
 
 namespace comfrey {
@@ -41,7 +44,8 @@
 {
 public:
     CallerServer(const CallerServerOptions &options, TrafficLoop &loop, ExchangeTable &exchanges,
-                 EventSink &sink, CallerDirectory &directory, const ProcessClock &clock);
+                 EventSink &sink, CallerDirectory &directory, const ProcessClock &clock,
+                 std::shared_ptr<CallerAccount> account);
 
     /// Before the loop starts. Returns the port in use.
     Result<int> listen(const Endpoint &address);
@@ -55,6 +59,12 @@
     bool isStopping() const override { return m_stopping; }
     ResponseContent onBadRequest(unsigned status, std::string_view reason) override;
     bool servesHalfClosed() const override { return true; }
+    std::shared_ptr<CallerAccount> account() override { return m_account; }
+    void onCallerClosed(Shortage shortage) override;
+
+    /// What is held for callers and who gave way, for metrics. From another thread; empty if the
+    /// loop does not answer soon.
+    nlohmann::json accountState();
 
     void onSessionEnded(CallerSession &session, bool left) override;
 
@@ -79,6 +89,12 @@
     CallerListener m_listener;
     std::unordered_map<RequestId, std::shared_ptr<CallerSession>> m_sessions;
     std::uint64_t m_lastRequest = 0;
+    const ProcessClock &m_clock;
+    std::shared_ptr<CallerAccount> m_account;
+    LineRate m_refusalLines;
+    std::uint64_t m_refused = 0;              ///< Requests for which memory or sockets lacked.
+    std::uint64_t m_closedForMemory = 0;      ///< Connections closed without an answer.
+    std::uint64_t m_closedForDescriptors = 0; ///< As above.
     bool m_stopping = false;
 };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -18,6 +18,10 @@
 constexpr std::chrono::milliseconds kStopPoll{10};
 // Time for the balancer to see the readiness; new requests are refused meanwhile.
 constexpr std::chrono::milliseconds kReadinessLag{500};
+/// Part of the memory that may be held for callers and back ends. The rest is for the program, its
+/// tables, and memory that the allocator keeps.
+constexpr std::size_t kHeldDivisor = 2;
+constexpr std::size_t kSpareConnections = 512; // idle ones, and those that only get a refusal
 
 CallerServerOptions callerOptions(const Settings &settings, Incarnation incarnation)
 {
@@ -29,6 +33,14 @@
     return options;
 }
 
+AccountLimits accountLimits(const Settings &settings)
+{
+    AccountLimits limits;
+    limits.bytes = (std::size_t{settings.router.memoryMb} << 20) / kHeldDivisor;
+    limits.sockets = settings.router.trafficThreads + kSpareConnections;
+    return limits;
+}
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -105,7 +117,8 @@
         : m_settings(settings),
           m_incarnation(static_cast<std::uint64_t>(m_clock.now().time_since_epoch().count())),
           m_dispatcher(m_loop, m_exchanges, [this] { m_stopped.raise(); }),
-          m_backends(m_loop, m_exchanges, m_sink, m_clock),
+          m_account(std::make_shared<CallerAccount>(accountLimits(settings))),
+          m_backends(m_loop, m_exchanges, m_sink, m_clock, m_account),
           m_platform(Endpoint(settings.platform.address),
                      std::chrono::milliseconds(settings.platform.requestTimeoutMs), m_sink),
           m_peers(m_sink)
@@ -129,9 +142,10 @@
             m_dispatcher);
         m_sink.connect(*m_control);
         m_directory = std::make_unique<ControlDirectory>(*m_control, m_loop);
-        m_callers = std::make_unique<CallerServer>(callerOptions(m_settings, m_incarnation), m_loop,
-                                                   m_exchanges, m_sink, *m_directory, m_clock);
-        m_operators = std::make_unique<OperatorServer>(*m_control);
+        m_callers =
+            std::make_unique<CallerServer>(callerOptions(m_settings, m_incarnation), m_loop,
+                                           m_exchanges, m_sink, *m_directory, m_clock, m_account);
+        m_operators = std::make_unique<OperatorServer>(*m_control, *m_callers);
         if (auto peers = m_peers.start(Endpoint(m_settings.router.peerAddress)); !peers)
             return peers;
         if (const auto port = m_callers->listen(Endpoint(m_settings.router.callerAddress)); !port)
@@ -169,6 +183,7 @@
     std::unique_ptr<ControlThread> m_control; ///< Outlives all that posts to it.
     ForwardingSink m_sink;
     ActionDispatcher m_dispatcher;
+    std::shared_ptr<CallerAccount> m_account; ///< Of the traffic loop.
     BackendClient m_backends;
     PlatformClient m_platform;
     PeerLink m_peers;
--- a/src/daemon/operatorserver.cpp
+++ b/src/daemon/operatorserver.cpp
@@ -26,8 +26,8 @@
 
 } // namespace
 
-OperatorServer::OperatorServer(ControlThread &control)
-    : m_control(control), m_server(serverOptions())
+OperatorServer::OperatorServer(ControlThread &control, CallerServer &callers)
+    : m_control(control), m_callers(callers), m_server(serverOptions())
 {
     httplib::Server &routes = m_server.routes();
     routes.Get("/healthz", [](const httplib::Request &, httplib::Response &response) {
@@ -45,9 +45,10 @@
         response.set_content(text, "application/json");
     });
     routes.Get("/metrics", [this](const httplib::Request &, httplib::Response &response) {
-        const nlohmann::json state = nlohmann::json::parse(dump(), nullptr, false);
+        nlohmann::json state = nlohmann::json::parse(dump(), nullptr, false);
         if (!state.is_object())
             return answerBusy(response);
+        state["callers"] = m_callers.accountState();
         response.set_content(prometheusText(state), "text/plain; version=0.0.4");
     });
 }
--- a/src/daemon/operatorserver.h
+++ b/src/daemon/operatorserver.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "common/httpserver.h"
+#include "daemon/callerserver.h"
 #include "daemon/controlthread.h"
 
 namespace comfrey {
@@ -11,7 +12,7 @@
 class OperatorServer
 {
 public:
-    explicit OperatorServer(ControlThread &control);
+    OperatorServer(ControlThread &control, CallerServer &callers);
 
     Result<int> listen(const Endpoint &address);
     void start() { m_server.start(); }
@@ -22,6 +23,7 @@
     std::string dump();
 
     ControlThread &m_control;
+    CallerServer &m_callers;
     HttpServer m_server;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -31,12 +31,27 @@
 {
     m_dependencies.metrics.count("comfrey_bad_requests_total",
                                  "status=\"" + std::to_string(status) + "\"");
-    LogLine(m_dependencies.log, "request-unreadable", now())
-        .add("status", status)
-        .add("reason", reason);
+    if (m_refusalLines.allows(now())) {
+        LogLine(m_dependencies.log, "request-unreadable", now())
+            .add("status", status)
+            .add("reason", reason)
+            .add("lines_left_out", m_refusalLines.takeLeftOut());
+    }
     return plainContent(reason);
 }
 
+void Gateway::onCallerClosed(Shortage shortage)
+{
+    const std::string_view reason = shortage == Shortage::Memory ? "memory" : "descriptors";
+    m_dependencies.metrics.count("comfrey_callers_closed_total",
+                                 "reason=\"" + std::string(reason) + "\"");
+    if (m_refusalLines.allows(now())) {
+        LogLine(m_dependencies.log, "caller-closed", now())
+            .add("reason", reason)
+            .add("lines_left_out", m_refusalLines.takeLeftOut());
+    }
+}
+
 void Gateway::checkServer(const std::shared_ptr<Replica> &replica, std::function<void()> onChecked)
 {
     auto &waiters = m_pendingChecks[replica->incarnation];
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "dispatch/dispatcher.h"
 #include "gateway/headercodec.h"
 #include "telemetry/eventlog.h"
+#include "telemetry/linerate.h"
 #include "telemetry/metrics.h"
 #include "traffic/backendpool.h"
 #include "traffic/callerconnection.h"
@@ -37,6 +38,8 @@
     std::function<TimePoint()> clock;
     LeaseSource *leaseSource =
         nullptr; ///< Null: this router chooses all servers itself, without leases.
+    std::shared_ptr<CallerAccount> account =
+        nullptr; ///< Null: what callers make it hold has no bound.
 };
 
 /// Proxies each request of a caller to a backend server.
@@ -53,6 +56,11 @@
     /// Logs and counts a request that could not be read, and returns the response's content.
     ResponseContent onBadRequest(unsigned status, std::string_view reason) override;
 
+    std::shared_ptr<CallerAccount> account() override { return m_dependencies.account; }
+    bool closeKeptServer() override { return m_dependencies.pool.closeOneIdle(); }
+    /// Counts it, and logs it within a rate.
+    void onCallerClosed(Shortage shortage) override;
+
     /// From now on each response closes its caller's connection; requests in flight are finished.
     void stop() { m_stopping = true; }
     /// Number of requests that have not ended.
@@ -88,6 +96,7 @@
     /// Callbacks that wait for a check, by the incarnation of the checked server.
     std::map<std::string, std::vector<std::function<void()>>> m_pendingChecks;
     bool m_stopping = false;
+    LineRate m_refusalLines; ///< Of callers that were refused or closed before a request was whole.
 };
 
 } // namespace comfrey
--- a/src/gateway/proxiedrequest.cpp
+++ b/src/gateway/proxiedrequest.cpp
@@ -422,7 +422,8 @@
         return;
     case Relay::Buffer:
         m_bufferedAnswer.body.append(bytes);
-        if (m_bufferedAnswer.body.size() > kMaxBufferedBytes)
+        m_caller->holdAnswer(m_bufferedAnswer.body.size() + m_fallbackAnswer.body.size());
+        if (m_bufferedAnswer.body.size() > mostHeld(kMaxBufferedBytes))
             startStreaming();
         return;
     }
@@ -451,10 +452,17 @@
         m_gateway.dependencies().metrics.observe(
             "comfrey_first_byte_seconds", "route=\"" + m_admission.route->name + "\"", elapsed());
     }
-    if (m_caller->backlog() > kMaxCallerBacklog && m_connection)
+    if (m_isResumable)
+        m_caller->holdAnswer(m_eventSplitter.incompleteEvent().size());
+    if (m_caller->backlog() > mostHeld(kMaxCallerBacklog) && m_connection)
         m_connection->setPaused(true);
 }
 
+std::size_t ProxiedRequest::mostHeld(std::size_t usually) const
+{
+    return m_caller->isMemoryTight() ? CallerAccount::kAnswerReserve : usually;
+}
+
 bool ProxiedRequest::hasStreamEndedWhole() const
 {
     if (!m_isEventStream)
@@ -482,6 +490,7 @@
     if (std::exchange(m_isAwaitingAnswer, false))
         dispatcher().onAnswer(*m_replica, m_gateway.now() - m_sentAt, m_gateway.now());
     m_caller->startResponse(m_bufferedAnswer.head);
+    m_caller->holdAnswer(m_fallbackAnswer.body.size());
     relayBody(std::exchange(m_bufferedAnswer.body, {}));
 }
 
--- a/src/gateway/proxiedrequest.h
+++ b/src/gateway/proxiedrequest.h
@@ -84,6 +84,8 @@
     void completeAttempt(TimePoint now);
     /// Writes a part of a streamed body to the caller; of a resumable stream only whole events.
     void relayBody(std::string_view bytes);
+    /// Bytes of the answer that may be held: `usually`, or little while memory is short.
+    std::size_t mostHeld(std::size_t usually) const;
     /// True unless the answer is a stream of events that has ended inside an event.
     bool hasStreamEndedWhole() const;
     /// Aborts an attempt whose answer has begun and is not well-formed.
--- a/src/settings/settingstable.cpp
+++ b/src/settings/settingstable.cpp
@@ -62,6 +62,8 @@
         "Longest that a graceful stop waits for requests in flight.");
     add("max_body_bytes", "bytes", count<section, &RouterT::maxBodyBytes>(1024, 67108864),
         "Largest request body; a larger one is answered with 413.");
+    add("memory_mb", "MiB", count<section, &RouterT::memoryMb>(32, 1048576),
+        "Memory of this process; half of it may be held for callers and back ends.");
 }
 
 void appendPlatform(Table &table)
--- a/src/traffic/backendconnection.cpp
+++ b/src/traffic/backendconnection.cpp
@@ -97,6 +97,8 @@
 void BackendConnection::connect(Duration limit)
 {
     m_connecting = true;
+    if (m_limits.account && !std::exchange(m_isCounted, true))
+        m_limits.account->addServerSocket();
     auto self = shared_from_this();
     m_connectTimer.expires_after(limit);
     m_connectTimer.async_wait([this, self](const boost::system::error_code &error) {
@@ -146,7 +148,7 @@
             m_writer.write(m_socket, m_head, self);
         } else {
             m_writer.write(m_socket, m_head, self);
-            m_writer.write(m_socket, *m_body, self);
+            m_writer.write(m_socket, m_body, self);
         }
     } else {
         m_writer.write(m_socket, m_head, self);
@@ -291,6 +293,8 @@
 {
     m_connecting = false;
     m_isOpen = false;
+    if (std::exchange(m_isCounted, false))
+        m_limits.account->removeServerSocket();
     m_closing = true;
     m_connectTimer.cancel();
     boost::system::error_code ignored; // A socket that does not close is closed already.
--- a/src/traffic/backendconnection.h
+++ b/src/traffic/backendconnection.h
@@ -14,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "comfrey/units.h"
+#include "memory/calleraccount.h"
 #include "traffic/httpparser.h"
 #include "traffic/socketwriter.h"
 
@@ -46,6 +47,7 @@
     Duration connectTimeout;
     Duration silentLimit; ///< TCP gives up on a peer that acknowledges nothing for so long.
     std::uint32_t maxHeaderBytes = 0;
+    std::shared_ptr<CallerAccount> account = nullptr; ///< Counts the sockets, if not null.
 };
 
 class BackendConnection : public std::enable_shared_from_this<BackendConnection>
@@ -112,7 +114,8 @@
     bool m_isHead = false;
     bool m_connecting = false;
     bool m_isOpen = false;
-    bool m_closing = false; ///< Not to be used for another request.
+    bool m_closing = false;   ///< Not to be used for another request.
+    bool m_isCounted = false; ///< The account counts the socket.
     bool m_hasSent = false;
     bool m_paused = false;
     bool m_reading = false;
--- a/src/traffic/backendpool.cpp
+++ b/src/traffic/backendpool.cpp
@@ -68,6 +68,18 @@
     }
 }
 
+bool BackendPool::closeOneIdle()
+{
+    for (auto entry = m_idle.begin(); entry != m_idle.end(); entry = m_idle.erase(entry)) {
+        if (entry->second.empty())
+            continue;
+        entry->second.front().connection->drop();
+        entry->second.erase(entry->second.begin());
+        return true;
+    }
+    return false;
+}
+
 std::size_t BackendPool::idleCount() const
 {
     std::size_t count = 0;
--- a/src/traffic/backendpool.h
+++ b/src/traffic/backendpool.h
@@ -32,6 +32,8 @@
                Duration limit, TimePoint now,
                std::function<void(std::optional<BreakKind>)> handler);
     /// Closes connections that were idle for too long.
+    /// Closes one idle connection. False if there is none.
+    bool closeOneIdle();
     void sweep(TimePoint now);
 
     std::size_t idleCount() const;
--- a/src/traffic/callerconnection.cpp
+++ b/src/traffic/callerconnection.cpp
@@ -2,6 +2,8 @@
 // caller has left.
 #include "traffic/callerconnection.h"
 
+#include <algorithm>
+
 #include <boost/beast/http/status.hpp>
 
 #include "telemetry/numbertext.h"
@@ -10,12 +12,20 @@
 
 namespace {
 
-constexpr std::size_t kMaxPipelinedBytes = 65536; ///< Read ahead of the present request.
+constexpr std::size_t kMaxPipelinedBytes = 65536;       ///< Read ahead of the present request.
+constexpr std::size_t kMaxPipelinedBytesIfTight = 4096; ///< As above, while memory is short.
+/// An answer that is not taken so far keeps the caller's next request waiting.
+constexpr std::size_t kMaxUnreadBytes = std::size_t{128} * 1024;
+/// Of a connection besides its buffers: entries of lists and what the allocator adds.
+constexpr std::size_t kConnectionOverhead = 512;
 constexpr Duration kClosingLimit =
     milliseconds(1000); ///< For the caller's own close after the last response.
 /// A caller that takes nothing for so long is gone: longer than any of its own time limits.
 constexpr Duration kStalledLimit = milliseconds(30000);
 
+constexpr unsigned kTooBusy = 503;
+constexpr std::string_view kRetryAfter = "1"; ///< Seconds in which others have given way.
+
 void appendStatusLine(std::string &out, unsigned status)
 {
     out += "HTTP/1.1 ";
@@ -42,7 +52,10 @@
 CallerConnection::CallerConnection(Socket socket, RequestHandler &handler, TimePoint now)
     : m_socket(std::move(socket)), m_handler(handler), m_now(now), m_stateSince(now),
       m_progressAt(now)
-{ }
+{
+    join(handler.account(), now);
+    hold(HeldKind::Connection, sizeof(CallerConnection) + kConnectionOverhead);
+}
 
 void CallerConnection::start()
 {
@@ -57,7 +70,8 @@
 {
     if (m_reading || !m_isOpen || m_halfClosed)
         return;
-    if (m_state == State::Busy && m_unparsed.size() >= kMaxPipelinedBytes)
+    if (m_state != State::Closing && m_unparsed.size() >= mostPipelinedBytes()
+        && (m_state == State::Busy || m_writer.backlog() > kMaxUnreadBytes))
         return;
     m_reading = true;
     m_socket.async_read_some(boost::asio::buffer(m_chunk),
@@ -86,25 +100,50 @@
         return;
     }
     if (m_state != State::Closing) {
-        m_unparsed.append(m_chunk.data(), count);
+        progress(count, m_now);
+        const std::string_view bytes(m_chunk.data(), count);
         if (m_state != State::Busy)
-            parse();
+            parse(bytes);
+        else
+            m_unparsed.append(bytes);
+        this->count();
+        if (m_state == State::Reading)
+            makeRoom();
     }
     read();
 }
 
-void CallerConnection::parse()
+void CallerConnection::parse(std::string_view bytes)
 {
-    if (m_unparsed.empty())
+    if (m_writer.backlog() > kMaxUnreadBytes) {
+        m_unparsed.append(bytes);
+        return;
+    }
+    if (m_unparsed.empty() && bytes.empty())
         return;
     if (m_state == State::Idle) {
-        m_state = State::Reading;
+        setState(State::Reading);
+        m_headRead = 0;
         m_stateSince = m_now;
         m_parser.emplace(m_handler.limits().maxHeaderBytes, m_handler.limits().maxBodyBytes);
     }
     const bool hadHead = m_parser->hasHead();
-    const std::size_t used = m_parser->feed(m_unparsed);
-    m_unparsed.erase(0, used);
+    const std::size_t held = m_unparsed.size() + bytes.size();
+    if (m_unparsed.empty()) {
+        m_unparsed.append(bytes.substr(m_parser->feed(bytes)));
+    } else {
+        m_unparsed.append(bytes);
+        const std::size_t used = m_parser->feed(m_unparsed);
+        if (used == m_unparsed.size())
+            m_unparsed = std::string();
+        else
+            m_unparsed.erase(0, used);
+    }
+    if (!hadHead) {
+        // Fields are objects of their own, many times a tiny one's bytes, also of a part of a head.
+        m_headRead += m_unparsed.size() < held ? held - m_unparsed.size() : 0;
+        m_headBytes = m_headRead + m_parser->head().fields.capacity() * sizeof(HttpField);
+    }
     switch (m_parser->fault()) {
     case ParseFault::None:
         break;
@@ -128,10 +167,16 @@
             write("HTTP/1.1 100 Continue\r\n\r\n");
         return;
     }
+    if (!makeRoomForSending())
+        return;
     HttpHead head = std::move(m_parser->head());
     std::string body = m_parser->takeBody();
     m_parser.reset();
-    m_state = State::Busy;
+    setState(State::Busy);
+    m_bodyBytes = body.size();
+    count();
+    if (!makeRoom())
+        return;
     m_stateSince = m_now;
     m_keepsAlive = head.keepsAlive;
     m_minorVersion = head.minorVersion;
@@ -143,13 +188,117 @@
 void CallerConnection::refuse(unsigned status, std::string_view reason)
 {
     ResponseContent content = m_handler.onBadRequest(status, reason);
-    m_state = State::Busy;
+    if (status == kTooBusy)
+        content.fields.push_back({"Retry-After", std::string(kRetryAfter)});
+    m_parser.reset();
+    m_unparsed = std::string();
+    setState(State::Busy);
     m_keepsAlive = false;
     m_minorVersion = 1;
     m_isHead = false;
     respond(status, std::move(content.fields), content.body, true);
 }
 
+void CallerConnection::refuseForShortage(Shortage shortage)
+{
+    refuse(kTooBusy,
+           shortage == Shortage::Memory ? "no memory is left for this request"
+                                        : "no descriptor is left for this request");
+}
+
+void CallerConnection::giveWay(Shortage shortage)
+{
+    const auto self = shared_from_this();
+    if (m_state == State::Reading) {
+        refuseForShortage(shortage);
+        // Its socket is what is needed; the refusal is on its way.
+        if (shortage == Shortage::Sockets)
+            close();
+        return;
+    }
+    if (m_state != State::Closing || m_writer.backlog() > 0)
+        m_handler.onCallerClosed(shortage);
+    if (m_writer.backlog() > 0)
+        abort();
+    else
+        close();
+}
+
+bool CallerConnection::makeRoom()
+{
+    CallerAccount *const all = account();
+    while (all && all->isOver(*this)) {
+        CallerShare *const other = all->victim(Shortage::Memory, this, m_now);
+        if (!other) {
+            refuseForShortage(Shortage::Memory);
+            return false;
+        }
+        other->giveWay(Shortage::Memory);
+    }
+    return true;
+}
+
+bool CallerConnection::makeRoomForSending()
+{
+    CallerAccount *const all = account();
+    while (all && all->lacksSocket()) {
+        if (m_handler.closeKeptServer())
+            continue;
+        CallerShare *const other = all->victim(Shortage::Sockets, this, m_now);
+        if (!other) {
+            refuseForShortage(Shortage::Sockets);
+            return false;
+        }
+        other->giveWay(Shortage::Sockets);
+    }
+    return true;
+}
+
+void CallerConnection::count()
+{
+    if (!account())
+        return;
+    const bool isRunning = m_state == State::Busy;
+    hold(HeldKind::Head, m_headBytes + m_unparsed.capacity());
+    hold(HeldKind::ArrivingBody, m_parser ? m_parser->body().size() : 0);
+    hold(HeldKind::RunningBody, m_bodyBytes);
+    const std::size_t answer = m_writer.backlog() + m_answerBytes;
+    hold(HeldKind::Answer, isRunning ? std::max(answer, CallerAccount::kAnswerReserve) : answer);
+    setStage(stage(), m_now);
+}
+
+CallerStage CallerConnection::stage() const
+{
+    switch (m_state) {
+    case State::Idle:
+        return m_writer.backlog() > 0 ? CallerStage::Unread : CallerStage::Idle;
+    case State::Reading:
+        return CallerStage::Arriving;
+    case State::Busy:
+        return CallerStage::Running;
+    case State::Closing:
+        return m_writer.backlog() > 0 ? CallerStage::Unread : CallerStage::Closing;
+    }
+    return CallerStage::Running;
+}
+
+void CallerConnection::setState(State state)
+{
+    m_state = state;
+    setStage(stage(), m_now);
+}
+
+void CallerConnection::holdAnswer(std::size_t bytes)
+{
+    m_answerBytes = bytes;
+    count();
+}
+
+std::size_t CallerConnection::mostPipelinedBytes() const
+{
+    return isMemoryTight() ? kMaxPipelinedBytesIfTight : kMaxPipelinedBytes;
+}
+
 bool CallerConnection::closesAfterResponse() const
 {
     return !m_keepsAlive || m_handler.isStopping();
@@ -239,21 +388,37 @@
         closeAfterWrite();
         return;
     }
-    m_state = State::Idle;
+    setState(State::Idle);
     m_stateSince = m_now;
+    m_headBytes = 0;
+    m_bodyBytes = 0;
+    m_answerBytes = 0;
     if (m_unparsed.empty())
         m_unparsed = std::string();
     else
-        boost::asio::post(m_socket.get_executor(), [this, self = shared_from_this()] {
-            if (m_isOpen && m_state == State::Idle)
-                parse();
-        });
+        parseLater();
+    count();
     read();
 }
 
+void CallerConnection::parseLater()
+{
+    boost::asio::post(m_socket.get_executor(), [this, self = shared_from_this()] {
+        if (!m_isOpen || m_state != State::Idle)
+            return;
+        parse({});
+        count();
+        if (m_state == State::Reading)
+            makeRoom();
+        read();
+    });
+}
+
 void CallerConnection::write(std::string_view bytes)
 {
     m_writer.write(m_socket, bytes, shared_from_this());
+    if (m_writer.backlog() > 0)
+        count();
 }
 
 void CallerConnection::onDrained(bool written)
@@ -267,8 +432,13 @@
             watcher->onCallerGone();
         return;
     }
-    if (m_state == State::Idle)
+    count();
+    if (m_state == State::Idle) {
         m_stateSince = m_now;
+        if (!m_unparsed.empty())
+            parseLater();
+        read();
+    }
     if (m_state == State::Closing)
         closeAfterWrite();
     else if (m_watcher)
@@ -277,9 +447,13 @@
 
 void CallerConnection::closeAfterWrite()
 {
-    m_state = State::Closing;
+    setState(State::Closing);
     m_stateSince = m_now;
     m_unparsed = std::string();
+    m_headBytes = 0;
+    m_bodyBytes = 0;
+    m_answerBytes = 0;
+    count();
     if (m_writer.backlog() > 0)
         return;
     boost::system::error_code ignored; // The caller may have closed first.
@@ -299,6 +473,8 @@
 bool CallerConnection::isWriteStalled(TimePoint now)
 {
     if (m_writer.backlog() == 0 || m_writer.progress() != m_progress) {
+        if (m_writer.progress() != m_progress)
+            progress(CallerAccount::kProgressBytes, now);
         m_progress = m_writer.progress();
         m_progressAt = now;
     }
@@ -337,6 +513,7 @@
 void CallerConnection::close()
 {
     m_isOpen = false;
+    leave();
     boost::system::error_code ignored; // A socket that does not close is closed already.
     m_socket.close(ignored);
 }
--- a/src/traffic/callerconnection.h
+++ b/src/traffic/callerconnection.h
@@ -14,6 +14,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "dispatch/fleetconfig.h"
+#include "memory/calleraccount.h"
 #include "traffic/httpparser.h"
 #include "traffic/socketwriter.h"
 
@@ -52,6 +53,12 @@
     /// True if a caller that closed its sending side still gets its answer. It then looks the same
     /// as one that has left, until a write fails.
     virtual bool servesHalfClosed() const { return false; }
+    /// Of the memory and the sockets of all callers; null if these connections are not counted.
+    virtual std::shared_ptr<CallerAccount> account() { return nullptr; }
+    /// Closes one kept connection to a server, for a caller. False if there is none.
+    virtual bool closeKeptServer() { return false; }
+    /// A connection was closed for others, without an answer.
+    virtual void onCallerClosed(Shortage shortage) { (void)shortage; }
 };
 
 /// Hears what happens to the caller of a request that is under way.
@@ -64,7 +71,7 @@
     virtual void onCallerDrained() = 0;
 };
 
-class CallerConnection : public std::enable_shared_from_this<CallerConnection>
+class CallerConnection : public std::enable_shared_from_this<CallerConnection>, private CallerShare
 {
 public:
     using Socket = boost::asio::ip::tcp::socket;
@@ -88,6 +95,10 @@
 
     bool hasStarted() const { return m_responseStarted; }
     std::size_t backlog() const { return m_writer.backlog(); }
+    /// Tells of bytes of the answer that are held for the caller elsewhere.
+    void holdAnswer(std::size_t bytes);
+    /// True if little may be held of the answer, since memory is short.
+    bool isMemoryTight() const { return account() && account()->isTight(); }
     bool isOpen() const { return m_isOpen; }
     /// True between two requests, with the last answer taken and nothing of the next request read.
     bool isIdle() const
@@ -107,10 +118,24 @@
         Closing, ///< The last response was written; discards what the caller still sends.
     };
 
+    void giveWay(Shortage shortage) override;
+    /// Has others give way for what this connection holds. False if it was refused itself.
+    bool makeRoom();
+    bool makeRoomForSending();
+    /// Tells the account what is held now.
+    void count();
+    void setState(State state);
+    CallerStage stage() const;
+    std::size_t mostPipelinedBytes() const;
+
     void read();
     void onRead(const boost::system::error_code &error, std::size_t count);
-    void parse();
+    /// Parses what was left over, and `bytes` after it.
+    void parse(std::string_view bytes);
+    /// Goes on with what was read ahead, from the loop.
+    void parseLater();
     void refuse(unsigned status, std::string_view reason);
+    void refuseForShortage(Shortage shortage);
     void endRequest();
     void onDrained(bool written);
     bool isWriteStalled(TimePoint now);
@@ -125,6 +150,10 @@
     std::array<char, 4096> m_chunk;
     std::string m_unparsed; ///< Received and not yet parsed.
     std::optional<RequestParser> m_parser;
+    std::size_t m_headBytes = 0;   ///< Held of the present request's head.
+    std::size_t m_headRead = 0;    ///< Bytes parsed until the head was whole.
+    std::size_t m_bodyBytes = 0;   ///< Of the present request's body, once the handler has it.
+    std::size_t m_answerBytes = 0; ///< Held of its answer elsewhere.
     CallerWatcher *m_watcher = nullptr;
     State m_state = State::Idle;
     TimePoint m_now;              ///< Of the last sweep: fine enough for limits of seconds.
--- a/src/traffic/callerlistener.cpp
+++ b/src/traffic/callerlistener.cpp
@@ -1,6 +1,7 @@
 // Listening sockets.
 #include "traffic/callerlistener.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace comfrey {
@@ -61,16 +62,48 @@
         [this](const boost::system::error_code &error, boost::asio::ip::tcp::socket socket) {
             if (!m_acceptor.is_open())
                 return;
-            if (!error && m_connections.size() < m_maxConnections) {
-                auto connection =
-                    std::make_shared<CallerConnection>(std::move(socket), m_handler, m_clock());
-                m_connections.push_back(connection);
-                connection->start();
+            if (error == boost::asio::error::no_descriptors) {
+                m_isWaiting = true;
+                return;
             }
+            if (!error)
+                onAccepted(std::move(socket));
             accept();
         });
 }
 
+void CallerListener::onAccepted(boost::asio::ip::tcp::socket socket)
+{
+    forgetClosed();
+    if (m_connections.size() >= m_maxConnections || !makeRoom())
+        return;
+    auto connection = std::make_shared<CallerConnection>(std::move(socket), m_handler, m_clock());
+    m_connections.push_back(connection);
+    connection->start();
+}
+
+bool CallerListener::makeRoom()
+{
+    const auto account = m_handler.account();
+    while (account && account->lacksSocket()) {
+        if (m_handler.closeKeptServer())
+            continue;
+        CallerShare *const other = account->victim(Shortage::Sockets, nullptr, m_clock());
+        if (!other)
+            return !account->lacksSpareSocket();
+        other->giveWay(Shortage::Sockets);
+    }
+    return true;
+}
+
+void CallerListener::forgetClosed()
+{
+    if (m_connections.size() < std::min(m_forgetAt, m_maxConnections))
+        return;
+    m_connections.remove_if([](const auto &connection) { return !connection->isOpen(); });
+    m_forgetAt = std::max(kFewConnections, m_connections.size() * 2);
+}
+
 void CallerListener::stopListening()
 {
     boost::system::error_code ignored; // An acceptor that does not close accepts nothing either.
@@ -86,6 +119,8 @@
 void CallerListener::sweep(TimePoint now)
 {
     m_connections.remove_if([now](const auto &connection) { return !connection->sweep(now); });
+    if (std::exchange(m_isWaiting, false) && m_acceptor.is_open())
+        accept();
 }
 
 } // namespace comfrey
--- a/src/traffic/callerlistener.h
+++ b/src/traffic/callerlistener.h
@@ -34,7 +34,14 @@
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
 
 private:
+    static constexpr std::size_t kFewConnections = 1024;
+
     void accept();
+    void onAccepted(boost::asio::ip::tcp::socket socket);
+    /// True if a newcomer may be kept; callers that wait are closed for it if need be.
+    bool makeRoom();
+    /// Forgets closed connections, at a cost that stays small beside that of accepting them.
+    void forgetClosed();
 
     boost::asio::io_context &m_loop;
     RequestHandler &m_handler;
@@ -42,7 +49,9 @@
     std::size_t m_maxConnections;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::list<std::shared_ptr<CallerConnection>>
-        m_connections; ///< Closed ones go at the next sweep.
+        m_connections; ///< Closed ones go at the next sweep, or when there are many.
+    std::size_t m_forgetAt = kFewConnections; ///< So many connections are looked through.
+    bool m_isWaiting = false; ///< No descriptor was left; the next sweep accepts again.
 };
 
 Result<boost::asio::ip::tcp::endpoint> parseEndpoint(const std::string &address);
--- a/src/traffic/httpparser.cpp
+++ b/src/traffic/httpparser.cpp
@@ -1,6 +1,8 @@
 // Beast's parser with the strictness that a proxy needs: one meaning of a message's length.
 #include "traffic/httpparser.h"
 
+#include <algorithm>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -34,6 +36,7 @@
 std::size_t HttpParser<isRequest>::feed(std::string_view bytes)
 {
     std::size_t used = 0;
+    m_fed = bytes;
     while (used < bytes.size() && !this->is_done() && m_fault == ParseFault::None) {
         boost::beast::error_code error;
         const std::size_t step =
@@ -50,6 +53,7 @@
         else if (step == 0)
             break;
     }
+    m_fed = {};
     if (!m_headRead && this->is_header_done() && m_fault == ParseFault::None)
         readFraming();
     return used;
@@ -87,11 +91,21 @@
 void HttpParser<isRequest>::on_field_impl(http::field name, View fieldName, View value,
                                           ErrorRef error)
 {
+    if (m_head.fields.empty())
+        reserveFields();
     m_head.fields.push_back({textOf(fieldName), textOf(value)});
     if (isContradiction(name, m_head.fields.back().value))
         error = http::error::bad_transfer_encoding;
 }
 
+template<bool isRequest>
+void HttpParser<isRequest>::reserveFields()
+{
+    // Mostly the whole head has come at once.
+    const std::string_view head = m_fed.substr(0, m_fed.find("\r\n\r\n"));
+    m_head.fields.reserve(1 + static_cast<std::size_t>(std::count(head.begin(), head.end(), '\n')));
+}
+
 template<bool isRequest>
 void HttpParser<isRequest>::readFraming()
 {
@@ -110,6 +124,12 @@
 template<bool isRequest>
 std::size_t HttpParser<isRequest>::on_body_impl(View bytes, ErrorRef)
 {
+    // A body that comes in several pieces doesn't grow beyond its announced end.
+    if (isRequest && m_head.contentLength && m_body.capacity() < m_body.size() + bytes.size()) {
+        const std::size_t whole = *m_head.contentLength;
+        m_body.reserve(std::max(m_body.size() + bytes.size(),
+                                std::min(whole, 2 * (m_body.size() + bytes.size()))));
+    }
     m_body.append(bytes.data(), bytes.size());
     return bytes.size();
 }
--- a/src/traffic/httpparser.h
+++ b/src/traffic/httpparser.h
@@ -62,7 +62,10 @@
     void on_finish_impl(ErrorRef) override { }
 
     void readFraming();
+    /// Makes room for the fields of the bytes that are being parsed.
+    void reserveFields();
 
+    std::string_view m_fed; ///< Bytes of the present feed(), else empty.
     HttpHead m_head;
     bool m_headRead = false; ///< m_head says how the body is framed.
     std::string m_body;      ///< Body bytes that nobody has taken yet.
--- a/tools/comfreyd/main.cpp
+++ b/tools/comfreyd/main.cpp
@@ -7,6 +7,7 @@
 #include "common/program.h"
 #include "daemon/daemon.h"
 #include "settings/settingsfile.h"
+#include "traffic/allocator.h"
 
 namespace {
 
@@ -52,5 +53,6 @@
         std::cout << config.getValue() << ": the settings are valid\n";
         return 0;
     }
+    comfrey::keepAllocatorSmall();
     return serve(*settings);
 }
--- a/tools/run/test.sh
+++ b/tools/run/test.sh
@@ -66,5 +66,7 @@
 for extra in tools/run/checks/*.sh; do
     [ -f "$extra" ] && suite "$(basename "$extra" .sh)" bash "$extra"
 done
+# Measures the memory of whole processes: by itself, after everything else.
+suite "crowds" build/tests/crowd/crowdtests
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
