--- a/src/dispatch/fleetconfig.h
+++ b/src/dispatch/fleetconfig.h
@@ -74,8 +74,8 @@
 {
     std::string name;
     std::vector<std::string> apiKeys;
-    std::optional<std::uint32_t> priority; ///< Overrides the priority of the route.
-    std::vector<RegionId> allowedRegions;  ///< Regions that may handle requests; empty: all.
+    std::optional<std::uint32_t> priority;     ///< Overrides the priority of the route.
+    std::vector<RegionId> allowedRegions = {}; ///< Regions that may handle requests; empty: all.
 };
 
 /// Limits on the size and the duration of a caller's request.
--- a/src/traffic/backendpool.h
+++ b/src/traffic/backendpool.h
@@ -34,6 +34,8 @@
     /// True if an idle connection shows that the server's process still runs.
     bool hasOpenConnection(const std::string &server) const;
     /// Closes connections that were idle for too long.
+    /// Closes one idle connection. False if there is none.
+    bool closeOneIdle();
     void sweep(TimePoint now);
 
     std::size_t idleCount() const;
