Removals: a doubt reaches dispatch, and its revocation too

Cause: a removal in doubt was a certain one for ReplicaTable. When a later list revoked it with the same record, the record was refused as delayed, and the server stayed out of use until its next report; its requests were taken for crashed. Gaps less than 1 s apart reset the time of every claim. A reader that stopped before its last, certain list was complete took the log as certain. Change: FeedRecord::isInDoubt; ReplicaTable accepts the same sequence after a removal in doubt, and an unannounced end is pushed once the removal is certain or the server has started afresh, but not if it may have expired with the store. A confirmed doubt is a change of the feed. TopicReader keeps its oldest claim at further gaps, unless records were lost, and leaves rechecking with the finished list. RemovalModelTest holds a ReplicaTable for each router. Its lists that must not lag between pages are the same as before (isListCertain): the last list of the rechecks counted as no recheck there already.

--- a/src/dispatch/replicatable.cpp
+++ b/src/dispatch/replicatable.cpp
@@ -30,7 +30,9 @@
     return removed != m_removed.end()
         && (record.startedAtMs < removed->second.startedAtMs
             || (record.startedAtMs == removed->second.startedAtMs
-                && record.sequence <= removed->second.sequence));
+                && (record.sequence < removed->second.sequence
+                    || (record.sequence == removed->second.sequence
+                        && !removed->second.isInDoubt))));
 }
 
 bool ReplicaTable::put(const ReplicaRecord &record, TimePoint readAt, TimePoint now)
@@ -48,9 +50,12 @@
         replica->incarnationHash = static_cast<std::uint32_t>(hashOf(replica->incarnation));
         replica->load.setSlots(record.slots);
         replica->isLeaving = m_leavingSince.count(replica->incarnation) > 0;
-        if (const auto removed = m_removed.find(record.id);
-            removed != m_removed.end() && removed->second.startedAtMs == record.startedAtMs)
-            replica->pausedUntil = removed->second.pausedUntil;
+        if (const auto removed = m_removed.find(record.id); removed != m_removed.end()) {
+            if (removed->second.startedAtMs == record.startedAtMs)
+                replica->pausedUntil = removed->second.pausedUntil;
+            else
+                confirmEnd(removed->second, TerminationEvidence::Restarted);
+        }
     }
     const bool changed = isNew || replica->isLeaving != record.isDraining
         || replica->record.address != record.address || replica->record.service != record.service;
@@ -63,36 +68,57 @@
     return changed;
 }
 
-void ReplicaTable::remove(const BackendId &id, TimePoint readAt, TimePoint now)
+void ReplicaTable::remove(const BackendId &id, TimePoint readAt, TimePoint now, bool isInDoubt)
 {
-    const auto found = m_replicas.find(id);
-    if (found == m_replicas.end())
-        return;
     const bool mayHaveExpired = m_storeLost
         || (m_storeRestoredAt != TimePoint::min() && now < m_storeRestoredAt + m_relistTimeout);
+    const auto found = m_replicas.find(id);
+    if (found == m_replicas.end()) {
+        const auto removed = m_removed.find(id);
+        if (removed == m_removed.end() || isInDoubt)
+            return;
+        if (mayHaveExpired)
+            removed->second.endInDoubt.clear();
+        confirmEnd(removed->second, TerminationEvidence::RecordRemoved);
+        return;
+    }
     Replica &replica = *found->second;
     if (mayHaveExpired && !replica.isLeaving && now < readAt + m_relistTimeout) {
         // The timeout counts from the read, not from the store's recovery: possibly only this
         // router's connection to the store was cut, and then the server really left.
+        replica.isRemovalInDoubt = isInDoubt;
         if (replica.unconfirmedUntil == kNever)
             replica.unconfirmedUntil = readAt + m_relistTimeout;
         return;
     }
-    erase(id, now);
+    erase(id, now, isInDoubt);
 }
 
-void ReplicaTable::erase(const BackendId &id, TimePoint now)
+void ReplicaTable::erase(const BackendId &id, TimePoint now, bool isInDoubt)
 {
     const auto found = m_replicas.find(id);
-    if (!found->second->isLeaving)
-        m_unannouncedEnds.push_back(
-            {found->second->incarnation, TerminationEvidence::RecordRemoved});
+    const std::string ended = found->second->isLeaving ? "" : found->second->incarnation;
     found->second->isLeaving = true;
-    m_removed[id] = {found->second->record.startedAtMs, found->second->record.sequence,
-                     found->second->pausedUntil, now};
+    RemovedReplica &removed = m_removed[id];
+    removed = {found->second->record.startedAtMs,
+               found->second->record.sequence,
+               found->second->pausedUntil,
+               now,
+               ended,
+               true};
+    if (!isInDoubt)
+        confirmEnd(removed, TerminationEvidence::RecordRemoved);
     m_replicas.erase(found);
 }
 
+void ReplicaTable::confirmEnd(RemovedReplica &removed, TerminationEvidence evidence)
+{
+    removed.isInDoubt = false;
+    const std::string ended = std::exchange(removed.endInDoubt, std::string());
+    if (!ended.empty() && m_leavingSince.count(ended) == 0)
+        m_unannouncedEnds.push_back({ended, evidence});
+}
+
 void ReplicaTable::markAddressTaken(const BackendId &id)
 {
     const auto found = m_replicas.find(id);
@@ -137,7 +163,7 @@
             expired.push_back(id);
     }
     for (const BackendId &id : expired)
-        erase(id, now);
+        erase(id, now, m_replicas.at(id)->isRemovalInDoubt);
     std::erase_if(m_removed, [now](const auto &entry) {
         return now - entry.second.removedAt > kRemovedRetention;
     });
--- a/src/dispatch/replicatable.h
+++ b/src/dispatch/replicatable.h
@@ -42,7 +42,8 @@
         0;                  ///< Hash of `incarnation`, by which routers refer to the server.
     bool isLeaving = false; ///< Accepts no new work.
     TimePoint unconfirmedUntil =
-        kNever; ///< Its record expired with the store; removed at this time.
+        kNever;                    ///< Its record expired with the store; removed at this time.
+    bool isRemovalInDoubt = false; ///< While it is unconfirmed.
     /// The server asked this router to send no requests before this time.
     TimePoint pausedUntil = TimePoint::min();
     TimePoint coldUntil = TimePoint::min(); ///< Can take only few requests before this time.
@@ -74,8 +75,9 @@
     /// record was read from the store. Returns false if nothing that matters to routing changed.
     bool put(const ReplicaRecord &record, TimePoint readAt, TimePoint now);
     /// The server's record was removed or is unreadable. `readAt`: when a router first read this
-    /// from the store.
-    void remove(const BackendId &id, TimePoint readAt, TimePoint now);
+    /// from the store. A removal in doubt is no evidence of an end, and the same record brings the
+    /// server back.
+    void remove(const BackendId &id, TimePoint readAt, TimePoint now, bool isInDoubt = false);
     /// Another server answered at the address of this one, which gets no more work.
     void markAddressTaken(const BackendId &id);
     /// The server announced to this or to another router that it leaves. Applies to the incarnation
@@ -126,11 +128,16 @@
         std::uint64_t sequence = 0;
         TimePoint pausedUntil;
         TimePoint removedAt;
+        /// Of a removal in doubt: the incarnation, if it had not announced its end; else empty.
+        std::string endInDoubt;
+        bool isInDoubt = false;
     };
 
     /// True if a newer record of the server, or its removal, is known.
     bool isStale(const ReplicaRecord &record) const;
-    void erase(const BackendId &id, TimePoint now);
+    void erase(const BackendId &id, TimePoint now, bool isInDoubt);
+    /// The server that was removed in doubt has ended.
+    void confirmEnd(RemovedReplica &removed, TerminationEvidence evidence);
 
     Duration m_relistTimeout;
     std::map<BackendId, std::shared_ptr<Replica>> m_replicas;
--- a/src/routers/recordfeed.cpp
+++ b/src/routers/recordfeed.cpp
@@ -46,12 +46,23 @@
     entry.previousValue.clear();
     entry.delta.clear();
     entry.doubtEnd = doubtEnd;
+    entry.record.isInDoubt = doubtEnd > 0;
     if (doubtEnd > 0)
         m_doubts.emplace(entry.record.topic, entry.record.key);
     entry.number = ++m_number;
     m_byNumber[entry.number] = &entry;
 }
 
+void RecordFeed::confirmRemoval(Entry &entry, std::uint64_t order)
+{
+    m_byNumber.erase(entry.number);
+    entry.record.order = order;
+    entry.record.isInDoubt = false;
+    entry.doubtEnd = 0;
+    entry.number = ++m_number;
+    m_byNumber[entry.number] = &entry;
+}
+
 void RecordFeed::applyList(const CompleteList &list)
 {
     TopicState &state = m_topics[list.topic];
@@ -69,8 +80,7 @@
             infer(entry, order, list.claimedEnd, list.readAt);
             state.known = std::min(state.known, order);
         } else if (entry.doubtEnd > 0 && order < list.end) {
-            entry.record.order = list.end - 1;
-            entry.doubtEnd = 0;
+            confirmRemoval(entry, list.end - 1);
             m_doubts.erase(at->first);
         } else {
             continue;
@@ -160,8 +170,7 @@
         Entry &entry = m_entries.at(key);
         if (key.first != topic || entry.doubtEnd > order)
             return false;
-        entry.record.order = std::max(entry.record.order, entry.doubtEnd - 1);
-        entry.doubtEnd = 0;
+        confirmRemoval(entry, std::max(entry.record.order, entry.doubtEnd - 1));
         return true;
     });
 }
--- a/src/routers/recordfeed.h
+++ b/src/routers/recordfeed.h
@@ -24,6 +24,8 @@
     /// When the leader read the record from the store, by this router's clock; TimePoint::min() if
     /// unknown.
     TimePoint readAt = TimePoint::min();
+    /// The key was removed because a list that is possibly older lacks it. Never sent to routers.
+    bool isInDoubt = false;
 };
 
 /// By topic, the order below which every change is known, or a newer change of the same key.
@@ -142,6 +144,8 @@
 
     /// Removes the value of an entry as a change of its own.
     void infer(Entry &entry, std::uint64_t order, std::uint64_t doubtEnd, TimePoint readAt);
+    /// The removal of an entry is no longer in doubt, which is a change of its own.
+    void confirmRemoval(Entry &entry, std::uint64_t order);
     /// Lowest order of a removal in doubt; none if there is no doubt.
     std::optional<std::uint64_t> lowestDoubt(const std::string &topic) const;
 
--- a/src/routers/topicreader.cpp
+++ b/src/routers/topicreader.cpp
@@ -70,12 +70,15 @@
         m_feed.put(std::move(record), {true});
     }
     m_listedRecords.clear();
-    if (!isRechecking()) {
-        list.end = m_nextOffset; // The list is certain, and the log goes on there.
-    } else if (m_listStartedAt - m_claimedAt >= kClaimAge) {
-        list.claimedEnd = m_claimedEnd;
-        m_claimedEnd = m_nextOffset;
-        m_claimedAt = now;
+    if (isListCertain()) {
+        list.end = m_nextOffset; // The log goes on there.
+        m_recheckAt = kNever;
+    } else if (m_listStartedAt - m_oldestClaim.at >= kClaimAge) {
+        const bool isNewestOldEnough = m_listStartedAt - m_newestClaim.at >= kClaimAge;
+        const Claim next{m_nextOffset, now};
+        list.claimedEnd = isNewestOldEnough ? m_newestClaim.end : m_oldestClaim.end;
+        m_oldestClaim = isNewestOldEnough ? next : m_newestClaim;
+        m_newestClaim = next;
     }
     m_feed.applyList(list);
     m_feed.raiseKnown(m_topic, list.end);
@@ -86,8 +89,10 @@
                                           std::vector<FeedRecord> records, TimePoint now)
 {
     const bool hasLostRecords = end < m_nextOffset;
-    if (hasLostRecords)
+    if (hasLostRecords) {
         m_feed.forgetKnown(m_topic);
+        m_recheckAt = kNever; // Claims of the lost records do not hold.
+    }
     if (hasLostRecords || firstKept > m_nextOffset || (records.empty() && end > m_nextOffset)) {
         onDropped(firstKept, now);
         return LogState::Gap;
@@ -110,8 +115,9 @@
 
 void TopicReader::beginRechecks(std::uint64_t claimedEnd, TimePoint now)
 {
-    m_claimedEnd = claimedEnd;
-    m_claimedAt = now;
+    m_newestClaim = {claimedEnd, now};
+    if (!isRechecking())
+        m_oldestClaim = m_newestClaim;
     m_recheckUntil = now + kRecheckDuration;
     m_recheckAt = now + kClaimAge;
 }
@@ -120,7 +126,7 @@
 {
     if (now < m_recheckAt)
         return Step::Log;
-    m_recheckAt = now < m_recheckUntil ? now + kRecheckInterval : kNever;
+    m_recheckAt = now + kRecheckInterval;
     startList(now);
     return Step::List;
 }
--- a/src/routers/topicreader.h
+++ b/src/routers/topicreader.h
@@ -44,8 +44,18 @@
     const std::string &lastListedKey() const { return m_lastListedKey; }
     /// True while the list is read again, since it may lag behind the log.
     bool isRechecking() const { return m_recheckAt != kNever; }
+    /// True if the list that is being read is not expected to lag behind the log.
+    bool isListCertain() const { return !isRechecking() || m_listStartedAt >= m_recheckUntil; }
 
 private:
+    /// Offset whose earlier changes the store has, and since when that is known: what a list
+    /// started kClaimAge later lacks is removed in doubt.
+    struct Claim
+    {
+        std::uint64_t end = 0;
+        TimePoint at = TimePoint::min();
+    };
+
     void finishList(TimePoint now);
     /// Lists again for a while; the lists should reflect the changes below `claimedEnd`.
     void beginRechecks(std::uint64_t claimedEnd, TimePoint now);
@@ -73,10 +83,10 @@
     /// After a gap the list is read again until then.
     TimePoint m_recheckUntil = TimePoint::min();
     TimePoint m_recheckAt = kNever; ///< Time of the next such list; kNever if the list is certain.
-    /// Offset whose earlier changes the store has, and since when that is known: what a list
-    /// started kClaimAge later lacks is removed in doubt.
-    std::uint64_t m_claimedEnd = 0;
-    TimePoint m_claimedAt = TimePoint::min();
+    /// The oldest claim that no list was old enough for, and the newest one. Further gaps replace
+    /// only the newest, so they can't postpone every claim.
+    Claim m_oldestClaim;
+    Claim m_newestClaim;
     bool m_hasList = false;
 };
 
--- a/tests/replicatabletest.cpp
+++ b/tests/replicatabletest.cpp
@@ -37,6 +37,11 @@
     CPPUNIT_TEST(drainingServerGetsNoWorkEvenIfItReportsReadyAgain);
     CPPUNIT_TEST(restartUnderTheSameIdIsANewIncarnation);
     CPPUNIT_TEST(delayedReportDoesNotBringBackRemovedServer);
+    CPPUNIT_TEST(sameRecordBringsBackServerRemovedInDoubt);
+    CPPUNIT_TEST(sameRecordBringsBackServerThatExpiredInDoubt);
+    CPPUNIT_TEST(confirmedRemovalInDoubtIsAnUnannouncedEnd);
+    CPPUNIT_TEST(removalInDoubtThatMayHaveExpiredIsNoEnd);
+    CPPUNIT_TEST(restartAfterRemovalInDoubtIsAnUnannouncedEnd);
     CPPUNIT_TEST(removalTakesEffectAtOnceWhileTheStoreIsReachable);
     CPPUNIT_TEST(expiredRecordIsUnconfirmedUntilItIsListedAgain);
     CPPUNIT_TEST(expiredRecordThatIsNotListedAgainIsRemovedWithinTheDrainLimit);
@@ -115,6 +120,66 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), serving());
     }
 
+    /// A list that lagged after a gap lacked the server, and the next one has it unchanged.
+    void sameRecordBringsBackServerRemovedInDoubt()
+    {
+        m_table.put(record(5), at(0));
+        m_table.remove(BackendId("e1"), at(10), at(10), true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), serving());
+        CPPUNIT_ASSERT(!m_table.put(record(4), at(20)));
+        CPPUNIT_ASSERT(m_table.put(record(5), at(20)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), serving());
+        CPPUNIT_ASSERT(m_table.takeUnannouncedEnds().empty());
+        m_table.remove(BackendId("e1"), at(30), at(30));
+        CPPUNIT_ASSERT(!m_table.put(record(5), at(40)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), serving());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_table.takeUnannouncedEnds().size());
+    }
+
+    void sameRecordBringsBackServerThatExpiredInDoubt()
+    {
+        m_table.put(record(5), at(0));
+        m_table.onStoreLost(at(1000));
+        m_table.onStoreRestored(at(5000));
+        m_table.remove(BackendId("e1"), at(5100), at(5100), true);
+        m_table.tick(at(9000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), serving());
+        CPPUNIT_ASSERT(m_table.put(record(5), at(9010)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), serving());
+        CPPUNIT_ASSERT(m_table.takeUnannouncedEnds().empty());
+    }
+
+    void confirmedRemovalInDoubtIsAnUnannouncedEnd()
+    {
+        m_table.put(record(5), at(0));
+        m_table.remove(BackendId("e1"), at(10), at(10), true);
+        CPPUNIT_ASSERT(m_table.takeUnannouncedEnds().empty());
+        m_table.remove(BackendId("e1"), at(20), at(20));
+        m_table.remove(BackendId("e1"), at(30), at(30));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_table.takeUnannouncedEnds().size());
+        CPPUNIT_ASSERT(!m_table.put(record(5), at(40)));
+    }
+
+    void removalInDoubtThatMayHaveExpiredIsNoEnd()
+    {
+        m_table.put(record(5), at(0));
+        m_table.remove(BackendId("e1"), at(10), at(10), true);
+        m_table.onStoreLost(at(1000));
+        m_table.onStoreRestored(at(5000));
+        m_table.remove(BackendId("e1"), at(5100), at(5100));
+        CPPUNIT_ASSERT(m_table.takeUnannouncedEnds().empty());
+    }
+
+    void restartAfterRemovalInDoubtIsAnUnannouncedEnd()
+    {
+        m_table.put(record(5), at(0));
+        m_table.remove(BackendId("e1"), at(10), at(10), true);
+        m_table.put(record(1, false, 2), at(20));
+        const auto ends = m_table.takeUnannouncedEnds();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), ends.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("e1@1"), ends.front().incarnation);
+    }
+
     void removalTakesEffectAtOnceWhileTheStoreIsReachable()
     {
         m_table.put(record(5), at(0));
--- a/tests/routerupdatestest.cpp
+++ b/tests/routerupdatestest.cpp
@@ -40,6 +40,9 @@
     CPPUNIT_TEST(keyMissingAfterAGapIsRemovedAtFollowersThatKnowMore);
     CPPUNIT_TEST(removalBeforeTheUpstreamsFirstListReachesFollowers);
     CPPUNIT_TEST(removalInDoubtIsRevokedByALaterList);
+    CPPUNIT_TEST(removalInDoubtIsStatedInItsRecord);
+    CPPUNIT_TEST(frequentGapsDoNotPostponeRemovals);
+    CPPUNIT_TEST(readerThatStopsDuringTheLastListListsAgain);
     CPPUNIT_TEST(recordBelowWhatIsKnownIsRefused);
     CPPUNIT_TEST(listIsSentOnceToAFollower);
     CPPUNIT_TEST(changesSinceANumberAreListedOnceInOrder);
@@ -139,7 +142,7 @@
         RecordFeed follower;
         RecordPosition position;
         follow(follower, position, feed, 7);
-        reader.onDropped(3, at(1000)); // Offset 2 was of a key that is gone.
+        reader.onDropped(3, at(1000));                 // Offset 2 was of a key that is gone.
         for (const std::int64_t time : {1100, 2100}) { // These lists lag.
             reader.addPage({{"t", "a", "1", 0}}, false, at(time));
             reader.nextStep(at(time + 1000));
@@ -155,6 +158,57 @@
         CPPUNIT_ASSERT(follower.find("t", "b")->value);
     }
 
+    void removalInDoubtIsStatedInItsRecord()
+    {
+        RecordFeed feed;
+        TopicReader reader("t", feed);
+        readAll(reader, {{"t", "a", "1", 0}, {"t", "b", "1", 1}}, 2, at(0));
+        reader.onDropped(3, at(1000));
+        for (const std::int64_t time : {1100, 2100}) { // These lists lag.
+            reader.addPage({{"t", "a", "1", 0}}, false, at(time));
+            reader.nextStep(at(time + 1000));
+        }
+        CPPUNIT_ASSERT(!feed.find("t", "b")->value && feed.find("t", "b")->isInDoubt);
+        RecordFeed revoked = feed;
+        revoked.put({"t", "b", "1", 1}, {true});
+        CPPUNIT_ASSERT(revoked.find("t", "b")->value && !revoked.find("t", "b")->isInDoubt);
+        const std::uint64_t number = feed.number();
+        feed.settleDoubts("t", 3);
+        CPPUNIT_ASSERT(!feed.find("t", "b")->isInDoubt);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), feed.changesSince(number).size());
+    }
+
+    void frequentGapsDoNotPostponeRemovals()
+    {
+        RecordFeed feed;
+        TopicReader reader("t", feed);
+        readAll(reader, {{"t", "a", "1", 0}, {"t", "b", "1", 1}}, 2, at(0));
+        // Offset 2 was the removal of b, later ones were of keys that are gone.
+        for (int gap = 0; gap < 5; ++gap) {
+            reader.onDropped(3 + gap, at(1000 + gap * 500));
+            reader.addPage({{"t", "a", "1", 0}}, false, at(1010 + gap * 500));
+        }
+        CPPUNIT_ASSERT(!feed.find("t", "b")->value);
+    }
+
+    void readerThatStopsDuringTheLastListListsAgain()
+    {
+        RecordFeed feed;
+        TopicReader reader("t", feed);
+        readAll(reader, {{"t", "a", "1", 0}, {"t", "b", "1", 1}}, 2, at(0));
+        reader.onDropped(3, at(1000)); // Offset 2 was the removal of b.
+        reader.addPage({{"t", "a", "1", 0}, {"t", "b", "1", 1}}, false, at(1100));
+        CPPUNIT_ASSERT(reader.nextStep(at(12000)) == TopicReader::Step::List);
+        // Another router reads for a while.
+        CPPUNIT_ASSERT(reader.activate(at(13000)) == TopicReader::Step::Log);
+        reader.addLog(3, 3, {}, at(13000));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), feed.knownUntil("t"));
+        CPPUNIT_ASSERT(reader.nextStep(at(14000)) == TopicReader::Step::List);
+        reader.addPage({{"t", "a", "1", 0}}, false, at(14000));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), feed.knownUntil("t"));
+        CPPUNIT_ASSERT(!feed.find("t", "b")->value && !reader.isRechecking());
+    }
+
     void recordBelowWhatIsKnownIsRefused()
     {
         RecordFeed feed;
--- a/tests/support/removalworld.cpp
+++ b/tests/support/removalworld.cpp
@@ -146,7 +146,7 @@
     std::uint64_t least = 0;
     for (const auto &router : m_routers) {
         if (router->isReading && router->step == TopicReader::Step::List
-            && router->reader.pageCount() > 0 && !router->reader.isRechecking())
+            && router->reader.pageCount() > 0 && router->reader.isListCertain())
             least = std::max(least, router->listedEnd);
     }
     return least;
@@ -157,7 +157,36 @@
     m_routers[one] = std::make_unique<Router>(++m_starts);
 }
 
+void RemovalWorld::applyToServers(Router &router)
+{
+    const std::uint64_t since = std::exchange(router.appliedNumber, router.feed.number());
+    for (const FeedChange &change : router.feed.changesSince(since)) {
+        const BackendId id(change.record->key);
+        if (!change.record->value) {
+            router.servers.remove(id, m_now, m_now, change.record->isInDoubt);
+            continue;
+        }
+        ReplicaRecord server;
+        server.id = id;
+        server.service = ServiceName("s");
+        server.sequence = std::stoull(*change.record->value);
+        router.servers.put(server, m_now);
+    }
+    router.servers.tick(m_now);
+    for (const EndedReplica &end : router.servers.takeUnannouncedEnds()) {
+        const std::string key = end.incarnation.substr(0, end.incarnation.rfind('@'));
+        if (m_store.existing().contains(key))
+            breakRule("a router takes the existing " + key + " for ended");
+    }
+}
+
 void RemovalWorld::read(Router &router)
+{
+    readStep(router);
+    applyToServers(router);
+}
+
+void RemovalWorld::readStep(Router &router)
 {
     if (!router.isReading) {
         router.isReading = true;
@@ -209,6 +238,7 @@
     const bool isUsable = !answer.received.known.empty();
     router.positions[answer.from].apply(router.feed, answer.sent, std::move(answer.received));
     router.isUsable = router.isUsable || isUsable;
+    applyToServers(router);
 }
 
 void RemovalWorld::play(const WorldEvent &event)
@@ -330,6 +360,10 @@
             if (record && record->value && removedAt && m_now - *removedAt > bound)
                 breakRule("router " + std::to_string(index) + " uses the removed " + name + " "
                           + when);
+            if (m_routers[index]->servers.find(BackendId(name)) && removedAt
+                && m_now - *removedAt > bound)
+                breakRule("router " + std::to_string(index) + " sends to the removed " + name + " "
+                          + when);
         }
     }
 }
@@ -341,6 +375,8 @@
             const FeedRecord *record = m_routers[index]->feed.find("t", key);
             if (!record || record->value != value)
                 breakRule("router " + std::to_string(index) + " lacks " + key);
+            if (!m_routers[index]->servers.find(BackendId(key)))
+                breakRule("router " + std::to_string(index) + " sends nothing to " + key);
         }
     }
 }
--- a/tests/support/removalworld.h
+++ b/tests/support/removalworld.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "dispatch/replicatable.h"
 #include "routers/recordexchange.h"
 #include "routers/recordfeed.h"
 #include "routers/topicreader.h"
@@ -105,6 +106,8 @@
         std::uint64_t startId;
         RecordFeed feed;
         TopicReader reader;
+        ReplicaTable servers{milliseconds(1700)}; ///< The keys as backend servers.
+        std::uint64_t appliedNumber = 0; ///< Last change of the feed that `servers` reflects.
         std::map<std::size_t, RecordPosition> positions;
         bool isReading = false;
         std::uint64_t listedEnd = 0; ///< The store's end at the first page of the last list.
@@ -122,6 +125,8 @@
     };
 
     void read(Router &router);
+    void readStep(Router &router);
+    void applyToServers(Router &router);
     Answer ask(std::size_t one, std::size_t other);
     void deliver(Answer answer);
     void restart(std::size_t one);
