Kept crashes: failed writes are repeated, older clearings spare newer crashes; abandoned attempts keep their whole time

A failed write was never repeated if nothing else was pending: takeBatch() returned early though a batch waited. CrashRecordsTest::onlyRecordOfFailedCallIsRepeated before: expected 1, actual 0; CrashStoreTest::onlyAppendWithoutAnswerIsRepeated: no further call came. 2. Abandoned attempts were dropped 8 s after the caller had left, though they count until the time that the request was given has passed. The 8 s start there now. CrashGuardTest::abandonedAttemptIsKeptForItsWholeTime before (15 s given, caller gone at 0.1 s, server's end at 10 s): expected 1, actual 0. The count stays bounded. 3. A reader that had started again read a crash from the store, heard of a clearing before it, forgot the crash and removed it from the store. A clearing now concerns the crashes of its own order and below. Since clocks of routers differ, a new clearing gets an order behind all crashes of the request that its router knows, and a new crash one behind the clearing. CrashStoreTest before: crashOutlastsOlderClearing and clearingForgetsOlderCrashesOnly expected 1, actual 0. clearingOfKnownCrashCountsDespiteClocks passed before and guards the orders.

--- a/src/dispatch/crashguard.cpp
+++ b/src/dispatch/crashguard.cpp
@@ -217,7 +217,7 @@
 {
     for (auto entry = m_unresolvedAttempts.begin(); entry != m_unresolvedAttempts.end();) {
         eraseAttempts(entry->second, [now](const UnresolvedAttempt &unresolved) {
-            return now - unresolved.endedAt > kUnresolvedAttemptTimeout;
+            return now - unresolved.resolvedAt() > kUnresolvedAttemptTimeout;
         });
         entry = entry->second.empty() ? m_unresolvedAttempts.erase(entry) : std::next(entry);
     }
--- a/src/dispatch/crashguard.h
+++ b/src/dispatch/crashguard.h
@@ -122,7 +122,8 @@
     static constexpr Duration kInitialRefusal = milliseconds(60000);
     static constexpr std::size_t kMaxDoublings = 3;
 
-    /// How long an attempt stays unresolved. Covers three heartbeats of a server and the
+    /// How long an attempt stays unresolved after its end, or after the time that the server was
+    /// given if that is later. Covers three heartbeats of a server and the
     /// propagation of the list, or a restart after a crash, which takes some seconds.
     static constexpr Duration kUnresolvedAttemptTimeout = milliseconds(8000);
     /// How long a termination is remembered: longer than the longest caller timeout, 15 s.
--- a/src/gateway/crashupdates.h
+++ b/src/gateway/crashupdates.h
@@ -41,6 +41,11 @@
     void dropExpired(std::uint64_t wallTime);
 
 private:
+    /// Order of a new record of the request, behind all that are known: clocks of routers differ.
+    std::uint64_t nextOrder(const std::string &fingerprint, bool isCleared,
+                            std::uint64_t wallTime) const;
+    void applyCleared(const FeedRecord &record, Fingerprint request, TimePoint now);
+
     CrashGuard &m_guard;
     RecordFeed &m_feed;
     EventLog &m_log;
--- a/src/gateway/keptcrashes.cpp
+++ b/src/gateway/keptcrashes.cpp
@@ -2,6 +2,7 @@
 // that one that is known already changes nothing.
 #include "gateway/keptcrashes.h"
 
+#include <limits>
 #include <memory>
 #include <utility>
 
@@ -31,16 +32,19 @@
         KeptCrash crash;
         crash.id = finding.request.value();
         crash.incarnation = finding.incarnation;
-        crash.crashedAtMs = wallTime;
+        const FeedRecord *published =
+            m_feed.find(CrashUpdates::kTopic,
+                        std::to_string(finding.request.value()) + ' ' + finding.incarnation);
+        crash.crashedAtMs = published ? published->order : wallTime;
         crash.sentMsBefore = millisecondsBetween(finding.sentAt, now);
         crash.writer = m_dispatcher.crashAttribution().self();
         m_records.onCrash(crash, crashes > 1, now);
     }
 }
 
-void KeptCrashes::onRequestCleared(Fingerprint request, TimePoint now)
+void KeptCrashes::onRequestCleared(Fingerprint request, std::uint64_t clearedAtMs, TimePoint now)
 {
-    m_records.onCleared(CrashSubject::Request, request.value(), now);
+    m_records.onCleared(CrashSubject::Request, request.value(), clearedAtMs, now);
 }
 
 void KeptCrashes::onVerdicts(const std::vector<PartVerdict> &verdicts, TimePoint now)
@@ -51,7 +55,9 @@
             continue;
         }
         m_refusedParts.erase(verdict.part);
-        m_records.onCleared(CrashSubject::PromptPart, verdict.part.value(), now);
+        // A verdict weighs all crashes that are known.
+        m_records.onCleared(CrashSubject::PromptPart, verdict.part.value(),
+                            std::numeric_limits<std::uint64_t>::max(), now);
     }
 }
 
--- a/src/gateway/keptcrashes.h
+++ b/src/gateway/keptcrashes.h
@@ -23,10 +23,11 @@
           m_records(dispatcher.crashAttribution().self())
     { }
 
-    /// Crashes that this router found. `wallTime` is in Unix milliseconds.
+    /// Crashes that this router found and added to the feed. `wallTime` is in Unix milliseconds.
     void onFindings(const std::vector<CrashFinding> &findings, std::uint64_t wallTime,
                     TimePoint now);
-    void onRequestCleared(Fingerprint request, TimePoint now);
+    /// The request ran without a crash; crashes after `clearedAtMs` stay.
+    void onRequestCleared(Fingerprint request, std::uint64_t clearedAtMs, TimePoint now);
     /// Prompt parts whose verdict changed.
     void onVerdicts(const std::vector<PartVerdict> &verdicts, TimePoint now);
 
--- a/src/quarantine/crashrecords.cpp
+++ b/src/quarantine/crashrecords.cpp
@@ -83,14 +83,16 @@
     m_pending.emplace(key, Pending{crash, isRepeated, now});
 }
 
-void CrashRecords::onCleared(CrashSubject subject, std::uint64_t id, TimePoint now)
+void CrashRecords::onCleared(CrashSubject subject, std::uint64_t id, std::uint64_t clearedAtMs,
+                             TimePoint now)
 {
     std::erase_if(m_pending, [&](const auto &entry) {
-        return entry.second.crash.subject == subject && entry.second.crash.id == id;
+        const KeptCrash &crash = entry.second.crash;
+        return crash.subject == subject && crash.id == id && crash.crashedAtMs <= clearedAtMs;
     });
     for (auto *records : {&m_kept, &m_batchKept}) {
         for (auto &[key, kept] : *records) {
-            if (kept.subject == subject && kept.id == id)
+            if (kept.subject == subject && kept.id == id && kept.crashedAtMs <= clearedAtMs)
                 kept.removeAt = now;
         }
     }
@@ -121,7 +123,8 @@
 
 std::vector<StoredCrash> CrashRecords::takeBatch(bool readsStore, TimePoint now)
 {
-    if (m_isCalling || now < m_nextCallAt || (m_pending.empty() && m_kept.empty()))
+    if (m_isCalling || now < m_nextCallAt
+        || (m_batch.empty() && m_pending.empty() && m_kept.empty()))
         return {};
     if (m_batch.empty()) {
         dropOutage();
@@ -135,7 +138,8 @@
                     continue;
                 }
                 m_batch.push_back(encode(pending.crash));
-                m_batchKept[entry->first] = {pending.crash.subject, pending.crash.id, true,
+                m_batchKept[entry->first] = {pending.crash.subject, pending.crash.id,
+                                             pending.crash.crashedAtMs, true,
                                              pending.foundAt + retention(pending.crash.subject)};
                 entry = m_pending.erase(entry);
             }
@@ -181,7 +185,7 @@
         const auto crash = decode(record.key, *record.value);
         if (!crash) {
             ++result.unreadable;
-            keep(record.key, {CrashSubject::Request, 0, false, now + kTidyDelay});
+            keep(record.key, {CrashSubject::Request, 0, 0, false, now + kTidyDelay});
             continue;
         }
         const auto maxAgeMs = static_cast<std::uint64_t>(retention(crash->subject).count() / 1000);
@@ -190,12 +194,13 @@
             crash->crashedAtMs < wallTime ? wallTime - crash->crashedAtMs : 0;
         if (!isBelieved || ageMs >= maxAgeMs) {
             ++result.expired;
-            keep(record.key, {crash->subject, crash->id, false, now + kTidyDelay});
+            keep(record.key,
+                 {crash->subject, crash->id, crash->crashedAtMs, false, now + kTidyDelay});
             continue;
         }
         const Duration age = milliseconds(static_cast<std::int64_t>(ageMs));
         keep(record.key,
-             {crash->subject, crash->id, crash->writer == m_self,
+             {crash->subject, crash->id, crash->crashedAtMs, crash->writer == m_self,
               now + retention(crash->subject) - age});
         result.crashes.push_back({*crash, age});
     }
--- a/src/quarantine/crashrecords.h
+++ b/src/quarantine/crashrecords.h
@@ -69,8 +69,9 @@
 
     /// This router found a crash. `isRepeated`: the request or part has crashed servers before.
     void onCrash(const KeptCrash &crash, bool isRepeated, TimePoint now);
-    /// The request or part is no longer suspected.
-    void onCleared(CrashSubject subject, std::uint64_t id, TimePoint now);
+    /// The request or part is no longer suspected of its crashes until `clearedAtMs`.
+    void onCleared(CrashSubject subject, std::uint64_t id, std::uint64_t clearedAtMs,
+                   TimePoint now);
     /// Records for one call of the store; empty if no call is due. A call ends with onWritten().
     /// `readsStore`: this router reads the store for others, and removes what nobody else will.
     std::vector<StoredCrash> takeBatch(bool readsStore, TimePoint now);
@@ -109,6 +110,7 @@
     {
         CrashSubject subject = CrashSubject::Request;
         std::uint64_t id = 0;
+        std::uint64_t crashedAtMs = 0;
         bool isOwn = false;
         TimePoint removeAt;
     };
--- a/src/routers/recordfeed.cpp
+++ b/src/routers/recordfeed.cpp
@@ -112,4 +112,15 @@
     return found == m_entries.end() ? nullptr : &found->second.record;
 }
 
+std::vector<const FeedRecord *> RecordFeed::findByPrefix(const std::string &topic,
+                                                         const std::string &prefix) const
+{
+    std::vector<const FeedRecord *> records;
+    for (auto at = m_entries.lower_bound(Key(topic, prefix));
+         at != m_entries.end() && at->first.first == topic && at->first.second.starts_with(prefix);
+         ++at)
+        records.push_back(&at->second.record);
+    return records;
+}
+
 } // namespace comfrey
--- a/src/routers/recordfeed.h
+++ b/src/routers/recordfeed.h
@@ -70,6 +70,9 @@
     std::uint64_t nextOrder(const std::string &topic) const;
     /// The newest record of the key, also if it was removed; null if there is none.
     const FeedRecord *find(const std::string &topic, const std::string &key) const;
+    /// The newest records of the topic's keys that begin with `prefix`.
+    std::vector<const FeedRecord *> findByPrefix(const std::string &topic,
+                                                 const std::string &prefix) const;
 
 private:
     struct Entry
--- a/tests/crashguardtest.cpp
+++ b/tests/crashguardtest.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(unresolvedAttemptsAreBounded);
     CPPUNIT_TEST(serverThatEndsUnderAbandonedAttemptIsACrash);
     CPPUNIT_TEST(abandonedAttemptOutlivesAnswersUntilItsTimeHasPassed);
+    CPPUNIT_TEST(abandonedAttemptIsKeptForItsWholeTime);
     CPPUNIT_TEST(removalTooSoonAfterAbandonedAttemptIsNoCrash);
     CPPUNIT_TEST(removalUnderAttemptAbandonedAfterLongWaitIsACrash);
     CPPUNIT_TEST(partsOfAbandonedAttemptCountOnlyIfEndIsKnownSoon);
@@ -261,6 +262,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), guard.takeFindings().size());
     }
 
+    /// Sent with 15 s for its run; its caller leaves at 0.1 s.
+    void abandonedAttemptIsKeptForItsWholeTime()
+    {
+        for (const std::int64_t end : {10000, 23000, 23100}) {
+            CrashGuard guard;
+            guard.onAttemptUnanswered({kRequest, {}, at(0), at(15000)}, "e1@1", at(100));
+            for (std::int64_t ms = 100; ms <= end; ms += 100)
+                guard.tick(at(ms));
+            guard.onServerTerminated("e1@1", TerminationEvidence::ConnectionRefused, at(end));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(end <= 23000 ? 1 : 0), guard.takeFindings().size());
+        }
+    }
+
     /// The list drops a server some heartbeats after its end, which was before the request then.
     void removalTooSoonAfterAbandonedAttemptIsNoCrash()
     {
--- a/tests/crashrecordstest.cpp
+++ b/tests/crashrecordstest.cpp
@@ -37,7 +37,9 @@
     CPPUNIT_TEST(dueRecordsShareCallsOfBoundedSize);
     CPPUNIT_TEST(callsHaveLeastIntervalAndGrowingRetryDelay);
     CPPUNIT_TEST(failedCallIsRepeatedWithSameRecords);
+    CPPUNIT_TEST(onlyRecordOfFailedCallIsRepeated);
     CPPUNIT_TEST(clearedRequestIsRemovedByItsWriter);
+    CPPUNIT_TEST(crashAfterClearingStays);
     CPPUNIT_TEST(expiredRecordIsRemovedByItsWriterOnce);
     CPPUNIT_TEST(pendingRecordsAreBounded);
     CPPUNIT_TEST(recordsAreRecalledWithTheirAge);
@@ -69,7 +71,7 @@
         records.onCrash(crashOf(1, "e1@1"), false, at(0));
         records.onCrash(crashOf(2, "e1@1"), false, at(0));
         CPPUNIT_ASSERT(records.takeBatch(false, at(1999)).empty());
-        records.onCleared(CrashSubject::Request, 2, at(1999));
+        records.onCleared(CrashSubject::Request, 2, kWallTime, at(1999));
         const auto batch = records.takeBatch(false, at(2000));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), batch.size());
         CPPUNIT_ASSERT_EQUAL(std::string("r1 e1@1"), batch.front().key);
@@ -134,21 +136,52 @@
         CPPUNIT_ASSERT_EQUAL(*first.front().value, *second.front().value);
     }
 
+    void onlyRecordOfFailedCallIsRepeated()
+    {
+        CrashRecords records("r1");
+        records.onCrash(crashOf(1, "e1@1"), true, at(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), records.takeBatch(false, at(0)).size());
+        records.onWritten(false, at(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), records.takeBatch(false, at(2100)).size());
+        records.onWritten(true, at(2200));
+        // Nor is a removal lost.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), records.takeBatch(false, at(600000)).size());
+        records.onWritten(false, at(600100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), records.takeBatch(false, at(602100)).size());
+    }
+
     void clearedRequestIsRemovedByItsWriter()
     {
         CrashRecords writer("r1");
         writer.onCrash(crashOf(1, "e1@1"), true, at(0));
         writer.takeBatch(false, at(0));
-        writer.onCleared(CrashSubject::Request, 1, at(1)); // While the call is under way.
+        writer.onCleared(CrashSubject::Request, 1, kWallTime,
+                         at(1)); // While the call is under way.
         writer.onWritten(true, at(5));
         const auto removal = writer.takeBatch(false, at(1000));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), removal.size());
         CPPUNIT_ASSERT(!removal.front().value);
         CrashRecords other("r2");
-        other.onCleared(CrashSubject::Request, 1, at(0));
+        other.onCleared(CrashSubject::Request, 1, kWallTime, at(0));
         CPPUNIT_ASSERT(other.takeBatch(false, at(0)).empty());
     }
 
+    void crashAfterClearingStays()
+    {
+        CrashRecords records("r1");
+        records.recall({encode(crashOf(1, "e1@1"))}, kWallTime + 1000, at(0));
+        records.onCrash(crashOf(1, "e2@1"), true, at(0));
+        records.onCleared(CrashSubject::Request, 1, kWallTime - 1, at(0));
+        const auto batch = records.takeBatch(false, at(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), batch.size());
+        CPPUNIT_ASSERT(batch.front().value);
+        records.onCleared(CrashSubject::Request, 1, kWallTime - 1, at(1)); // The call is under way.
+        records.onWritten(true, at(2));
+        CPPUNIT_ASSERT(records.takeBatch(false, at(5000)).empty());
+        records.onCleared(CrashSubject::Request, 1, kWallTime, at(5000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), records.takeBatch(false, at(5000)).size());
+    }
+
     void expiredRecordIsRemovedByItsWriterOnce()
     {
         CrashRecords records("r1");
--- a/tests/traffic/crashstoretest.cpp
+++ b/tests/traffic/crashstoretest.cpp
@@ -74,6 +74,10 @@
     CPPUNIT_TEST(unknownTopicIsEmpty);
     CPPUNIT_TEST(repeatedCrashIsAppended);
     CPPUNIT_TEST(appendWithoutAnswerIsRepeatedUnchanged);
+    CPPUNIT_TEST(onlyAppendWithoutAnswerIsRepeated);
+    CPPUNIT_TEST(crashOutlastsOlderClearing);
+    CPPUNIT_TEST(clearingForgetsOlderCrashesOnly);
+    CPPUNIT_TEST(clearingOfKnownCrashCountsDespiteClocks);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -165,7 +169,58 @@
         CPPUNIT_ASSERT_EQUAL(m_store.requests[1].second, m_store.requests[3].second);
     }
 
+    void onlyAppendWithoutAnswerIsRepeated()
+    {
+        m_store.answers = {R"(200 {"items":[]})", "reset", "503 "};
+        crash("e1@1");
+        CPPUNIT_ASSERT(runUntilDone([this] { return m_store.requests.size() >= 4; }));
+        CPPUNIT_ASSERT_EQUAL(m_store.requests[1].second, m_store.requests[3].second);
+    }
+
+    /// A reader starts again: the store has a crash that came after the clearing.
+    void crashOutlastsOlderClearing()
+    {
+        m_store.answers = {page("r2a e1@1", false)};
+        CPPUNIT_ASSERT(runUntilRead());
+        hear("42", kWallTime - 1000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_dispatcher.crashGuard().crashCount(kRequest));
+        run(milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_store.requests.size());
+        hear("42", kWallTime + 1000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_dispatcher.crashGuard().crashCount(kRequest));
+        CPPUNIT_ASSERT(runUntilDone([this] { return m_store.requests.size() == 2; }));
+    }
+
+    void clearingForgetsOlderCrashesOnly()
+    {
+        hear("42 e1@1", kWallTime - 2000);
+        hear("42 e2@1", kWallTime);
+        hear("42", kWallTime - 1000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_dispatcher.crashGuard().crashCount(kRequest));
+    }
+
+    /// The router that found the crash has a clock that is ahead of that of this one.
+    void clearingOfKnownCrashCountsDespiteClocks()
+    {
+        hear("42 e1@1", kWallTime + 5000);
+        m_dispatcher.crashGuard().onSuccess(kRequest);
+        m_updates.publish(kWallTime, now());
+        applyFeed();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_dispatcher.crashGuard().crashCount(kRequest));
+        crash("e2@1");
+        applyFeed();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_dispatcher.crashGuard().crashCount(kRequest));
+    }
+
 private:
+    /// Applies a record of another router.
+    void hear(const std::string &key, std::uint64_t order)
+    {
+        const FeedRecord record{CrashUpdates::kTopic, key, std::string(), order, now()};
+        m_feed.put(record);
+        m_updates.apply(record, now());
+    }
+
     /// A page with the record of a crash at kWallTime.
     static std::string page(const std::string &key, bool hasMore)
     {
