Kept crashes: a record from the future counts as new, what looks expired is removed later

With a reader's clock that was slow by over a minute, or a writer's that was ahead, valid crashes were taken as expired and removed 10 min later; parts are kept for an hour. A record from the future now has age 0, and expired ones are removed once their subject's retention has passed since the read.

ageIsBoundedIfClocksDiffer asserted that records from more than 60 s ahead are not recalled. That was the fault: it now asserts for the same times that they are recalled with age 0 and not counted as expired; before: expected 1, actual 0. recordsNobodyRemovesAreRemovedByRouterThatReadsTheStore with an expired part failed before: removed too soon.

--- a/src/quarantine/crashrecords.cpp
+++ b/src/quarantine/crashrecords.cpp
@@ -13,10 +13,7 @@
 constexpr std::string_view kFormat = "1"; ///< First word of each value.
 constexpr std::size_t kMaxKeyBytes = 255; ///< Of the store.
 constexpr std::size_t kMaxWriterBytes = 64;
-/// A writer's clock may be ahead of the reader's by so much. Later times are not believed.
-constexpr std::uint64_t kMaxClockLeadMs = 60000;
-/// Records that nobody else removes are removed so long after they were read. The clock of the
-/// router that read them may have been wrong.
+/// Unreadable records are removed so long after they were read.
 constexpr Duration kTidyDelay = milliseconds(600000);
 
 bool isBefore(const RecalledCrash &left, const RecalledCrash &right)
@@ -189,13 +186,15 @@
             continue;
         }
         const auto maxAgeMs = static_cast<std::uint64_t>(retention(crash->subject).count() / 1000);
-        const bool isBelieved = crash->crashedAtMs <= wallTime + kMaxClockLeadMs;
+        // A record from the future counts as new: one of the clocks is wrong.
         const std::uint64_t ageMs =
             crash->crashedAtMs < wallTime ? wallTime - crash->crashedAtMs : 0;
-        if (!isBelieved || ageMs >= maxAgeMs) {
+        if (ageMs >= maxAgeMs) {
             ++result.expired;
+            // This router's clock may be wrong: routers with right clocks read it meanwhile.
             keep(record.key,
-                 {crash->subject, crash->id, crash->crashedAtMs, false, now + kTidyDelay});
+                 {crash->subject, crash->id, crash->crashedAtMs, false,
+                  now + retention(crash->subject)});
             continue;
         }
         const Duration age = milliseconds(static_cast<std::int64_t>(ageMs));
