Shared queue: the drain rate outlasts an empty list of servers

Cause: an empty list counted as one slot, so the measured rate was scaled down by the number of slots, and not up again when the servers returned. A crowd that came then was refused although there was room. Change: the rate keeps the number of slots that it was measured for; a list without servers leaves both alone. Test: ServiceQueueServersTest::returningServersKeepTheDrainRate printed before 'Expected: 0, Actual: 10' refusals of 30 requests that fit within their aim.

--- a/src/dispatch/servicequeue.cpp
+++ b/src/dispatch/servicequeue.cpp
@@ -57,7 +57,6 @@
 
 void ServiceQueue::setServers(const std::vector<QueueServer> &servers)
 {
-    const std::uint32_t slotsBefore = totalSlots();
     std::map<std::uint32_t, Server> present;
     for (const QueueServer &server : servers) {
         const auto known = m_servers.find(server.incarnationHash);
@@ -68,13 +67,15 @@
             entry.leases = leaseCountAt(server.incarnationHash);
         entry.slots = std::max(1U, server.slots);
     }
-    const bool hadServers = hasServers();
     m_servers = std::move(present);
+    if (!hasServers())
+        return;
     const std::uint32_t slots = totalSlots();
-    if (hadServers && slots != slotsBefore) {
-        m_drainRate.scale(static_cast<double>(slots) / slotsBefore);
+    if (m_ratedSlots != 0 && slots != m_ratedSlots) {
+        m_drainRate.scale(static_cast<double>(slots) / m_ratedSlots);
         m_needsPlan = true;
     }
+    m_ratedSlots = slots;
 }
 
 std::uint32_t ServiceQueue::leaseCountAt(std::uint32_t server) const
--- a/src/dispatch/servicequeue.h
+++ b/src/dispatch/servicequeue.h
@@ -208,6 +208,8 @@
     TimePoint m_decayedAt = TimePoint::min();
     std::uint64_t m_lastLeaseId = 0; ///< Lease ids start at 1, since 0 means refused.
     DrainRate m_drainRate;
+    std::uint32_t m_ratedSlots =
+        0; ///< Slots that m_drainRate is for; 0: there were no servers yet.
     ArrivalRate m_firstAttempts;
     RefusalMemory m_refusals;
     TimePoint m_lastRetryAt = TimePoint::min(); ///< Latest time that a refused caller was told.
--- /dev/null
+++ b/tests/servicequeueserverstest.cpp
@@ -0,0 +1,84 @@
+// ServiceQueue: plans while servers leave the list, return or cannot be reached.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <utility>
+#include <vector>
+
+#include "dispatch/servicequeue.h"
+
+using namespace comfrey;
+
+namespace {
+
+TimePoint at(std::int64_t ms)
+{
+    return TimePoint(milliseconds(ms));
+}
+
+const std::vector<QueueServer> kServers{{1, 6}, {2, 6}, {3, 6}};
+constexpr std::uint64_t kMaxLeases = 3U * (6U + std::uint64_t{ServiceQueue::kExtraLeases});
+
+} // namespace
+
+class ServiceQueueServersTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ServiceQueueServersTest);
+    CPPUNIT_TEST(returningServersKeepTheDrainRate);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override { m_queue.setServers(kServers); }
+
+    /// A configuration without servers, or a router that has lost its list, and then the same
+    /// servers again.
+    void returningServersKeepTheDrainRate()
+    {
+        std::vector<std::pair<std::int64_t, std::uint64_t>> leases; // End in ms, id.
+        for (std::int64_t ms = 0; ms < 1000; ++ms) {
+            std::erase_if(leases, [&](const auto &lease) {
+                if (lease.first > ms)
+                    return false;
+                m_queue.release(lease.second, LeaseOutcome::Answered, at(ms));
+                return true;
+            });
+            enqueueMany(2, ms);
+            for (const LeaseDecision &decision : m_queue.decide(at(ms))) {
+                if (decision.leaseId != 0)
+                    leases.emplace_back(ms + 45, decision.leaseId);
+            }
+        }
+        for (std::uint64_t id = 1; id <= m_lastRequestId; ++id)
+            m_queue.withdraw(id);
+        for (const auto &[end, id] : leases)
+            m_queue.release(id, LeaseOutcome::Answered, at(1000));
+        m_queue.setServers({});
+        m_queue.setServers(kServers);
+        enqueueMany(kMaxLeases, 1001);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{kMaxLeases}, m_queue.decide(at(1001)).size());
+        // Leases of 45 ms: the last of these is served after about 95 ms.
+        enqueueMany(30, 1002);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_queue.decide(at(1002)).size());
+    }
+
+private:
+    LeaseRequest request(std::int64_t ms)
+    {
+        LeaseRequest result;
+        result.id = ++m_lastRequestId;
+        result.organisation = "o";
+        result.onTimeDeadline = at(ms + 150);
+        result.answerDeadline = at(ms + 1000);
+        return result;
+    }
+
+    void enqueueMany(std::uint64_t count, std::int64_t ms)
+    {
+        for (std::uint64_t index = 0; index < count; ++index)
+            m_queue.enqueue(request(ms), at(ms));
+    }
+
+    ServiceQueue m_queue;
+    std::uint64_t m_lastRequestId = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServiceQueueServersTest);
