Shared queue: the plan knows that all servers are paused

Cause: servers that refuse connections are paused for 0.5 to 4 s, but arrivals were planned at the remembered rate as if a server could take them now. They were kept after 80 ms and refused at their deadline. Change: the plan counts from the end of the first server's pause, and is made anew when a pause starts. Test: ServiceQueueServersTest::arrivalsDuringAPauseOfAllServersAreNotRefusedLate failed before at 'refusedAtOnce > 500'; without this check it printed 'Expected: 0, Actual: 765' late refusals.

--- a/src/dispatch/servicequeue.cpp
+++ b/src/dispatch/servicequeue.cpp
@@ -125,6 +125,7 @@
             + kUnreachablePause
                 * (1U << std::min(server.consecutiveConnectFailures, kMaxPauseDoublings));
         ++server.consecutiveConnectFailures;
+        m_needsPlan = true;
     }
 }
 
@@ -199,6 +200,16 @@
     });
 }
 
+TimePoint ServiceQueue::nextGrantFrom(TimePoint now) const
+{
+    if (m_servers.empty())
+        return now;
+    TimePoint from = kNever;
+    for (const auto &[hash, server] : m_servers)
+        from = std::min(from, std::max(now, server.pausedUntil));
+    return from;
+}
+
 double ServiceQueue::drainRate() const
 {
     return m_drainRate.perSecond(totalSlots() * 1e6 / static_cast<double>(meanLeaseTime().count()));
@@ -218,10 +229,11 @@
 
     const double rate = kDrainOptimism * drainRate();
     const Duration leaseTime = meanLeaseTime();
+    const TimePoint from = nextGrantFrom(now);
     std::size_t before = 0; ///< Requests that are served first.
     std::vector<std::pair<Place, WaitingRequests::iterator>> late;
     for (auto &[place, waiting] : order) {
-        const TimePoint grantedAt = now + timeFor(before + 1, rate);
+        const TimePoint grantedAt = from + timeFor(before + 1, rate);
         if (place.timeClass == Place::Class::OnTime
             && grantedAt + leaseTime > waiting->request.onTimeDeadline)
             place.timeClass = Place::Class::Late;
@@ -240,7 +252,7 @@
     const Duration drainTime = timeFor(before, rate);
     for (const auto &[place, waiting] : late) {
         if (isKept(*waiting, now)
-            || now + timeFor(before + 1, spareRate) + needed <= waiting->request.answerDeadline) {
+            || from + timeFor(before + 1, spareRate) + needed <= waiting->request.answerDeadline) {
             waiting->isPlanned = true;
             ++before;
             continue;
--- a/src/dispatch/servicequeue.h
+++ b/src/dispatch/servicequeue.h
@@ -191,6 +191,8 @@
     double grantedRatio(const std::string &organisation) const;
     /// True if requests wait for busy servers; not if they wait because no server can be reached.
     bool isSaturated() const;
+    /// The time at which the first server's pause ends; `now` if one is not paused.
+    TimePoint nextGrantFrom(TimePoint now) const;
     double drainRate() const; ///< Leases a second that the servers can end.
     /// Ages the request and grant counts of all organisations.
     void decayCounts(TimePoint now);
--- a/tests/servicequeueserverstest.cpp
+++ b/tests/servicequeueserverstest.cpp
@@ -24,6 +24,7 @@
 {
     CPPUNIT_TEST_SUITE(ServiceQueueServersTest);
     CPPUNIT_TEST(returningServersKeepTheDrainRate);
+    CPPUNIT_TEST(arrivalsDuringAPauseOfAllServersAreNotRefusedLate);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -60,6 +61,31 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_queue.decide(at(1002)).size());
     }
 
+    /// All servers refuse connections and are back after the longest pause.
+    void arrivalsDuringAPauseOfAllServersAreNotRefusedLate()
+    {
+        enqueueMany(kMaxLeases, 0);
+        for (const LeaseDecision &decision : m_queue.decide(at(0)))
+            m_queue.release(decision.leaseId, LeaseOutcome::Unreachable, at(1));
+        std::vector<std::pair<std::int64_t, std::uint64_t>> leases;
+        for (std::int64_t ms = 2; ms < 6000; ++ms) {
+            std::erase_if(leases, [&](const auto &lease) {
+                if (lease.first > ms)
+                    return false;
+                m_queue.release(lease.second, LeaseOutcome::Answered, at(ms));
+                return true;
+            });
+            if (ms % 20 == 0 && ms < 5000)
+                enqueueMany(5, ms);
+            for (const LeaseDecision &decision : m_queue.decide(at(ms))) {
+                if (decision.leaseId != 0)
+                    leases.emplace_back(ms + 45, decision.leaseId);
+            }
+        }
+        CPPUNIT_ASSERT(m_queue.counts().refusedAtOnce > 500);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, m_queue.counts().refusedLate);
+    }
+
 private:
     LeaseRequest request(std::int64_t ms)
     {
