Shared queue: a retry that has tried every server is refused at once

Cause: no server was left to grant, and the retry waited to its deadline. Change: it is refused in the first decision after it arrives, or after the list of servers has shrunk to those that it tried. Test: ServiceQueueServersTest::retryThatHasTriedEveryServerIsRefusedAtOnce printed before 'Expected: 1, Actual: 0' decisions.

--- a/src/dispatch/servicequeue.cpp
+++ b/src/dispatch/servicequeue.cpp
@@ -188,12 +188,21 @@
     return !m_waiting.empty() && m_leases.size() >= totalSlots();
 }
 
+bool ServiceQueue::hasTriedAll(const LeaseRequest &request) const
+{
+    return request.isRetry && hasServers()
+        && std::all_of(m_servers.begin(), m_servers.end(), [&request](const auto &server) {
+               return std::find(request.excluded.begin(), request.excluded.end(), server.first)
+                   != request.excluded.end();
+           });
+}
+
 void ServiceQueue::refuseExpired(TimePoint now, std::vector<LeaseDecision> &decisions)
 {
     const Duration needed = minAnswerTime();
     const Duration drainTime = timeFor(m_waiting.size(), drainRate());
     std::erase_if(m_waiting, [&](const WaitingRequest &waiting) {
-        if (now + needed <= waiting.request.answerDeadline)
+        if (now + needed <= waiting.request.answerDeadline && !hasTriedAll(waiting.request))
             return false;
         decisions.push_back(refuse(waiting, drainTime, now));
         return true;
@@ -318,7 +327,7 @@
     WaitingRequest waiting;
     waiting.arrivedAt = now - request.waited;
     waiting.callerDeadline = now + request.callerTime;
-    waiting.isPlanned = request.isRetry;
+    waiting.isPlanned = request.isRetry && !hasTriedAll(request);
     const auto refusal = request.fingerprint == 0
         ? std::nullopt
         : m_refusals.take(request.fingerprint, request.callerTime, now);
--- a/src/dispatch/servicequeue.h
+++ b/src/dispatch/servicequeue.h
@@ -165,7 +165,10 @@
     /// Number of leases at the server, also if it is not in the list of servers.
     std::uint32_t leaseCountAt(std::uint32_t server) const;
     void dropExpiredLeases(TimePoint now);
-    /// Refuses requests whose time is too short for an answer.
+    /// True for a retry that must avoid every server.
+    bool hasTriedAll(const LeaseRequest &request) const;
+    /// Refuses requests whose time is too short for an answer, and retries that have tried every
+    /// server.
     void refuseExpired(TimePoint now, std::vector<LeaseDecision> &decisions);
     /// Grants every lease that a server has room for.
     void grantLeases(TimePoint now, std::vector<LeaseDecision> &decisions);
--- a/tests/servicequeueserverstest.cpp
+++ b/tests/servicequeueserverstest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST_SUITE(ServiceQueueServersTest);
     CPPUNIT_TEST(returningServersKeepTheDrainRate);
     CPPUNIT_TEST(arrivalsDuringAPauseOfAllServersAreNotRefusedLate);
+    CPPUNIT_TEST(retryThatHasTriedEveryServerIsRefusedAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -86,6 +87,26 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, m_queue.counts().refusedLate);
     }
 
+    void retryThatHasTriedEveryServerIsRefusedAtOnce()
+    {
+        LeaseRequest retry = request(0);
+        retry.isRetry = true;
+        retry.excluded = {1, 2, 3};
+        m_queue.enqueue(retry, at(0));
+        const auto decisions = m_queue.decide(at(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, decisions[0].leaseId);
+        CPPUNIT_ASSERT(decisions[0].retryAfter > Duration(0));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_queue.counts().refusedAtOnce);
+        retry = request(1);
+        retry.isRetry = true;
+        retry.excluded = {1, 3};
+        m_queue.enqueue(retry, at(1));
+        const auto granted = m_queue.decide(at(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, granted.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, granted[0].server);
+    }
+
 private:
     LeaseRequest request(std::int64_t ms)
     {
