Shared queue: the next owner decides its own undecided request alone

Cause: after a silent owner, the router that came next put its own request into its queue with the times of the last poll, so with up to a poll's time too much. Test: SharedQueueLinkTest::nextOwnerDecidesItsOwnRequestAloneAfterASilentOwner failed before at 'verdict == NoQueue' of the first reply. The renewed times have no test of their own.

--- a/src/gateway/sharedqueuelink.cpp
+++ b/src/gateway/sharedqueuelink.cpp
@@ -133,6 +133,7 @@
     request.handler = std::move(handler);
     request.callerDeadline = now + requirements.callerWithin;
     request.requestedAt = now;
+    request.arrivedAt = now - requirements.waited;
     submit(std::move(request), now);
 }
 
@@ -147,6 +148,11 @@
         pollOwner(*owner, std::move(request), now);
         return;
     }
+    if (now - request.requestedAt >= QueueOwnerHealth::kUndecidedTime) {
+        request.handler({});
+        return;
+    }
+    refreshTimes(request, now);
     const ServiceName service(request.poll.service);
     WaitingRequest &waiting = m_waitingRequests[request.poll.wish];
     waiting.service = service;
@@ -167,6 +173,15 @@
     return call;
 }
 
+void SharedQueueLink::refreshTimes(LocalRequest &request, TimePoint now)
+{
+    request.poll.limitMs = wholeMilliseconds(request.answerDeadline - now);
+    request.poll.onTimeMs = wholeMilliseconds(request.onTimeDeadline - now);
+    request.poll.waitedMs = wholeMilliseconds(now - request.arrivedAt);
+    if (request.poll.callerMs != 0)
+        request.poll.callerMs = wholeMilliseconds(request.callerDeadline - now);
+}
+
 void SharedQueueLink::pollOwner(const RouterInfo &owner, LocalRequest request, TimePoint now)
 {
     const auto endpoint = parseEndpoint(owner.address);
@@ -176,10 +191,7 @@
         decideAlone(owner, request);
         return;
     }
-    request.poll.limitMs = wholeMilliseconds(request.answerDeadline - now);
-    request.poll.onTimeMs = wholeMilliseconds(request.onTimeDeadline - now);
-    if (request.poll.callerMs != 0)
-        request.poll.callerMs = wholeMilliseconds(request.callerDeadline - now);
+    refreshTimes(request, now);
     HttpCaller::Call call = makeCall(*endpoint, request.poll);
     call.timeout = *timeout;
     // Shared because std::function requires a copyable handler.
--- a/src/gateway/sharedqueuelink.h
+++ b/src/gateway/sharedqueuelink.h
@@ -86,6 +86,7 @@
         TimePoint onTimeDeadline;
         TimePoint callerDeadline; ///< Only if the caller said when it leaves.
         TimePoint requestedAt;
+        TimePoint arrivedAt;   ///< At this router.
         bool isQueued = false; ///< An owner said that it waits in its queue.
         Handler handler;
     };
@@ -93,8 +94,11 @@
     /// The first router in the fleet's shared order that is not unresponsive, so that all routers
     /// agree on one owner.
     std::optional<RouterInfo> queueOwner(TimePoint now) const;
-    /// Enqueues the request if this router is the queue owner, otherwise polls the owner.
+    /// Enqueues the request if this router is the queue owner, otherwise polls the owner. A request
+    /// that was undecided for too long is placed without a lease.
     void submit(LocalRequest request, TimePoint now);
+    /// Sets the poll's times to what is left, and has passed, now.
+    static void refreshTimes(LocalRequest &request, TimePoint now);
     void pollOwner(const RouterInfo &owner, LocalRequest request, TimePoint now);
     /// Refuses a request that waits in the owner's queue; any other is placed without a lease.
     void decideAlone(const RouterInfo &owner, const LocalRequest &request);
--- a/tests/traffic/sharedqueuelinktest.cpp
+++ b/tests/traffic/sharedqueuelinktest.cpp
@@ -91,6 +91,7 @@
     CPPUNIT_TEST(requestWaitsForALeaseAcrossSeveralPolls);
     CPPUNIT_TEST(requestThatCannotBeServedByItsDeadlineIsRefused);
     CPPUNIT_TEST(unresponsiveQueueOwnerIsSkipped);
+    CPPUNIT_TEST(nextOwnerDecidesItsOwnRequestAloneAfterASilentOwner);
     CPPUNIT_TEST(routerDecidesAloneWhenOwnersAreSilent);
     CPPUNIT_TEST(routerDecidesAloneWhenOwnerFallsSilent);
     CPPUNIT_TEST(requestsWithoutRoomAreRefusedWhileOthersWait);
@@ -162,6 +163,19 @@
         CPPUNIT_ASSERT_EQUAL(pollsReceived, m_routers[0]->pollsReceived);
     }
 
+    /// The asking router is the next owner; its request has been undecided for long enough.
+    void nextOwnerDecidesItsOwnRequestAloneAfterASilentOwner()
+    {
+        m_routers[0]->isUnresponsive = true;
+        const auto first = requestLease(1);
+        CPPUNIT_ASSERT(runTicking([&] { return first->has_value(); }));
+        CPPUNIT_ASSERT((*first)->verdict == LeaseReply::Verdict::NoQueue);
+        const auto second = requestLease(1);
+        CPPUNIT_ASSERT(runTicking([&] { return second->has_value(); }));
+        CPPUNIT_ASSERT((*second)->verdict == LeaseReply::Verdict::Granted);
+        CPPUNIT_ASSERT_EQUAL(m_routers[1]->self.address, (*second)->lease.queueOwner);
+    }
+
     /// Every router but the asking one is silent: it decides alone.
     void routerDecidesAloneWhenOwnersAreSilent()
     {
