Refusal memory: at most 16 refusals of one fingerprint

Cause: each arrival looks through all refusals of its fingerprint, up to 4,096. Change: the oldest of 16 equal ones is dropped for a new one.

--- a/src/dispatch/refusalmemory.cpp
+++ b/src/dispatch/refusalmemory.cpp
@@ -2,6 +2,7 @@
 #include "dispatch/refusalmemory.h"
 
 #include <chrono>
+#include <iterator>
 
 namespace comfrey {
 
@@ -15,6 +16,11 @@
 void RefusalMemory::add(std::uint64_t fingerprint, const RefusedAttempt &refusal)
 {
     dropOld(refusal.refusedAt);
+    const auto [oldest, end] = m_refusals.equal_range(fingerprint); // In order of add().
+    if (static_cast<std::size_t>(std::distance(oldest, end)) >= kMaxEqualRefusals) {
+        m_byAge.erase(oldest->second.sequence);
+        m_refusals.erase(oldest);
+    }
     const auto entry = m_refusals.emplace(fingerprint, Entry{++m_lastSequence, refusal});
     m_byAge.emplace(m_lastSequence, entry);
 }
--- a/src/dispatch/refusalmemory.h
+++ b/src/dispatch/refusalmemory.h
@@ -26,6 +26,8 @@
 {
 public:
     static constexpr std::size_t kMaxRefusals = 4096; ///< Some seconds of refusals; about 400 KB.
+    /// Of one fingerprint, since take() looks through all of these.
+    static constexpr std::size_t kMaxEqualRefusals = 16;
 
     void add(std::uint64_t fingerprint, const RefusedAttempt &refusal);
     /// The refusal after which this attempt comes, which is forgotten then.
