--- a/src/dispatch/servicequeue.h
+++ b/src/dispatch/servicequeue.h
@@ -217,7 +217,6 @@
         0; ///< Slots that m_drainRate is for; 0: there were no servers yet.
     ArrivalRate m_firstAttempts;
     RefusalMemory m_refusals;
-    TimePoint m_lastRetryAt = TimePoint::min(); ///< Latest time that a refused caller was told.
     bool m_needsPlan = false; ///< The waiting requests changed since the last plan.
     Counts m_counts;
 };
