--- a/src/dispatch/servicequeue.cpp
+++ b/src/dispatch/servicequeue.cpp
@@ -57,7 +57,6 @@
 
 void ServiceQueue::setServers(const std::vector<QueueServer> &servers)
 {
-    const std::uint32_t slotsBefore = totalSlots();
     std::map<std::uint32_t, Server> present;
     for (const QueueServer &server : servers) {
         const auto known = m_servers.find(server.incarnationHash);
@@ -68,13 +67,15 @@
             entry.leases = leaseCountAt(server.incarnationHash);
         entry.slots = std::max(1U, server.slots);
     }
-    const bool hadServers = hasServers();
     m_servers = std::move(present);
+    if (!hasServers())
+        return;
     const std::uint32_t slots = totalSlots();
-    if (hadServers && slots != slotsBefore) {
-        m_drainRate.scale(static_cast<double>(slots) / slotsBefore);
+    if (m_ratedSlots != 0 && slots != m_ratedSlots) {
+        m_drainRate.scale(static_cast<double>(slots) / m_ratedSlots);
         m_needsPlan = true;
     }
+    m_ratedSlots = slots;
 }
 
 std::uint32_t ServiceQueue::leaseCountAt(std::uint32_t server) const
@@ -124,6 +125,7 @@
             + kUnreachablePause
                 * (1U << std::min(server.consecutiveConnectFailures, kMaxPauseDoublings));
         ++server.consecutiveConnectFailures;
+        m_needsPlan = true;
     }
 }
 
@@ -186,18 +188,37 @@
     return !m_waiting.empty() && m_leases.size() >= totalSlots();
 }
 
+bool ServiceQueue::hasTriedAll(const LeaseRequest &request) const
+{
+    return request.isRetry && hasServers()
+        && std::all_of(m_servers.begin(), m_servers.end(), [&request](const auto &server) {
+               return std::find(request.excluded.begin(), request.excluded.end(), server.first)
+                   != request.excluded.end();
+           });
+}
+
 void ServiceQueue::refuseExpired(TimePoint now, std::vector<LeaseDecision> &decisions)
 {
     const Duration needed = minAnswerTime();
     const Duration drainTime = timeFor(m_waiting.size(), drainRate());
     std::erase_if(m_waiting, [&](const WaitingRequest &waiting) {
-        if (now + needed <= waiting.request.answerDeadline)
+        if (now + needed <= waiting.request.answerDeadline && !hasTriedAll(waiting.request))
             return false;
         decisions.push_back(refuse(waiting, drainTime, now));
         return true;
     });
 }
 
+TimePoint ServiceQueue::nextGrantFrom(TimePoint now) const
+{
+    if (m_servers.empty())
+        return now;
+    TimePoint from = kNever;
+    for (const auto &[hash, server] : m_servers)
+        from = std::min(from, std::max(now, server.pausedUntil));
+    return from;
+}
+
 double ServiceQueue::drainRate() const
 {
     return m_drainRate.perSecond(totalSlots() * 1e6 / static_cast<double>(meanLeaseTime().count()));
@@ -217,10 +238,11 @@
 
     const double rate = kDrainOptimism * drainRate();
     const Duration leaseTime = meanLeaseTime();
+    const TimePoint from = nextGrantFrom(now);
     std::size_t before = 0; ///< Requests that are served first.
     std::vector<std::pair<Place, WaitingRequests::iterator>> late;
     for (auto &[place, waiting] : order) {
-        const TimePoint grantedAt = now + timeFor(before + 1, rate);
+        const TimePoint grantedAt = from + timeFor(before + 1, rate);
         if (place.timeClass == Place::Class::OnTime
             && grantedAt + leaseTime > waiting->request.onTimeDeadline)
             place.timeClass = Place::Class::Late;
@@ -239,7 +261,7 @@
     const Duration drainTime = timeFor(before, rate);
     for (const auto &[place, waiting] : late) {
         if (isKept(*waiting, now)
-            || now + timeFor(before + 1, spareRate) + needed <= waiting->request.answerDeadline) {
+            || from + timeFor(before + 1, spareRate) + needed <= waiting->request.answerDeadline) {
             waiting->isPlanned = true;
             ++before;
             continue;
@@ -305,7 +327,7 @@
     WaitingRequest waiting;
     waiting.arrivedAt = now - request.waited;
     waiting.callerDeadline = now + request.callerTime;
-    waiting.isPlanned = request.isRetry;
+    waiting.isPlanned = request.isRetry && !hasTriedAll(request);
     const auto refusal = request.fingerprint == 0
         ? std::nullopt
         : m_refusals.take(request.fingerprint, request.callerTime, now);
--- a/src/dispatch/servicequeue.h
+++ b/src/dispatch/servicequeue.h
@@ -165,7 +165,10 @@
     /// Number of leases at the server, also if it is not in the list of servers.
     std::uint32_t leaseCountAt(std::uint32_t server) const;
     void dropExpiredLeases(TimePoint now);
-    /// Refuses requests whose time is too short for an answer.
+    /// True for a retry that must avoid every server.
+    bool hasTriedAll(const LeaseRequest &request) const;
+    /// Refuses requests whose time is too short for an answer, and retries that have tried every
+    /// server.
     void refuseExpired(TimePoint now, std::vector<LeaseDecision> &decisions);
     /// Grants every lease that a server has room for.
     void grantLeases(TimePoint now, std::vector<LeaseDecision> &decisions);
@@ -191,6 +194,8 @@
     double grantedRatio(const std::string &organisation) const;
     /// True if requests wait for busy servers; not if they wait because no server can be reached.
     bool isSaturated() const;
+    /// The time at which the first server's pause ends; `now` if one is not paused.
+    TimePoint nextGrantFrom(TimePoint now) const;
     double drainRate() const; ///< Leases a second that the servers can end.
     /// Ages the request and grant counts of all organisations.
     void decayCounts(TimePoint now);
@@ -208,9 +213,10 @@
     TimePoint m_decayedAt = TimePoint::min();
     std::uint64_t m_lastLeaseId = 0; ///< Lease ids start at 1, since 0 means refused.
     DrainRate m_drainRate;
+    std::uint32_t m_ratedSlots =
+        0; ///< Slots that m_drainRate is for; 0: there were no servers yet.
     ArrivalRate m_firstAttempts;
     RefusalMemory m_refusals;
-    TimePoint m_lastRetryAt = TimePoint::min(); ///< Latest time that a refused caller was told.
     bool m_needsPlan = false; ///< The waiting requests changed since the last plan.
     Counts m_counts;
 };
