--- a/tests/engineoverloadtest.cpp
+++ b/tests/engineoverloadtest.cpp
@@ -67,9 +67,6 @@
     CPPUNIT_TEST(twiceTheUsualServesTheUrgentOnTime);
     CPPUNIT_TEST(manyTimesTheUsualServesTheUrgentOnTime);
     CPPUNIT_TEST(urgentLongWorkIsServedBeforeTheRest);
-    CPPUNIT_TEST(twiceTheUsualServesTheUrgentOnTime);
-    CPPUNIT_TEST(manyTimesTheUsualServesTheUrgentOnTime);
-    CPPUNIT_TEST(urgentLongWorkIsServedBeforeTheRest);
     CPPUNIT_TEST(loadWithoutAdmissionMissesTheGoals);
     CPPUNIT_TEST(usualLoadIsSentAtOnce);
     CPPUNIT_TEST_SUITE_END();
