Kept server connections read on after an answer that ended in a pause

Cause: the last part of an answer may pause the connection (a caller that does not read). It then went back to the pool without a pending read, and send() wrote the next request without starting one: the request ran and its answer never arrived; a close by the server went unnoticed.

Change: the end of an answer ends its pause, and send() starts a read.

EndlessBytesTest, before: both new cases failed in runUntil (second.isWhole; !isReusable); now 14 of 14. The cases play the pause at the connection, not through a whole gateway.

--- a/src/traffic/backendconnection.cpp
+++ b/src/traffic/backendconnection.cpp
@@ -62,10 +62,12 @@
     m_discarding = false;
     m_skipped = 0;
     m_paused = false;
-    if (m_isOpen)
+    if (m_isOpen) {
         writeRequest();
-    else
+        read();
+    } else {
         connect(m_limits.connectTimeout);
+    }
 }
 
 bool BackendConnection::hasUnreadBytes() const
@@ -275,6 +277,7 @@
     if (m_closing || !m_unparsed.empty())
         close();
     m_parser.reset();
+    m_paused = false; // The next read shows that the server has closed the connection.
     listener->onEnd();
 }
 
--- a/tests/traffic/endlessbytestest.cpp
+++ b/tests/traffic/endlessbytestest.cpp
@@ -54,6 +54,8 @@
     CPPUNIT_TEST(endlessTrailerOfACallerIsRefused);
     CPPUNIT_TEST(stalledStreamWithAByteNowAndThenEndsAtItsTimeLimit);
     CPPUNIT_TEST(slowStreamWithSoundEventsIsWhole);
+    CPPUNIT_TEST(answerThatEndsInAPauseLeavesItsConnectionInUse);
+    CPPUNIT_TEST(closeOfAServerIsNoticedAfterAnAnswerThatEndedInAPause);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -135,7 +137,71 @@
         CPPUNIT_ASSERT_EQUAL(sent, response->body);
     }
 
+    void answerThatEndsInAPauseLeavesItsConnectionInUse()
+    {
+        ScriptedServer server(m_loop, answerWithTarget);
+        const BackendPool::Connection connection = callWithPause(server);
+        UnreadAnswer second(*connection, false);
+        connection->send("GET /2 HTTP/1.1\r\nX-Request-Id: r2\r\n\r\n", nullptr, false, &second);
+        CPPUNIT_ASSERT(runUntil(m_loop, [&] { return second.isWhole; }));
+        CPPUNIT_ASSERT_EQUAL(std::string("/2"), second.body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server.connectionCount());
+    }
+
+    void closeOfAServerIsNoticedAfterAnAnswerThatEndedInAPause()
+    {
+        ScriptedServer server(m_loop, answerWithTarget);
+        const BackendPool::Connection connection = callWithPause(server);
+        server.connection(0).close();
+        CPPUNIT_ASSERT(runUntil(m_loop, [&] { return !connection->isReusable(); }));
+    }
+
 private:
+    /// Pauses the connection at each part of the body, as for a caller that does not read.
+    class UnreadAnswer : public BackendListener
+    {
+    public:
+        UnreadAnswer(BackendConnection &connection, bool pauses)
+            : m_connection(connection), m_pauses(pauses)
+        { }
+        bool acceptsHead(const HttpHead &) override { return true; }
+        void onHead(HttpHead &) override { }
+        void onBody(std::string_view bytes) override
+        {
+            body.append(bytes);
+            if (m_pauses)
+                m_connection.setPaused(true);
+        }
+        void onEnd() override { isWhole = true; }
+        void onBroken(BreakKind) override { }
+
+        std::string body;
+        bool isWhole = false;
+
+    private:
+        BackendConnection &m_connection;
+        bool m_pauses;
+    };
+
+    static void answerWithTarget(ServerConnection &connection, const Request &request)
+    {
+        connection.answer(request, request.head.target);
+    }
+
+    /// A connection after an answer whose only part paused it.
+    BackendPool::Connection callWithPause(const ScriptedServer &server)
+    {
+        BackendPool::Connection connection =
+            m_pool.take("e0", {boost::asio::ip::address_v4::loopback(), server.port()}, now());
+        UnreadAnswer first(*connection, true);
+        connection->send("GET /1 HTTP/1.1\r\nX-Request-Id: r1\r\n\r\n", nullptr, false, &first);
+        CPPUNIT_ASSERT(runUntil(m_loop, [&] { return first.isWhole; }));
+        CPPUNIT_ASSERT_EQUAL(std::string("/1"), first.body);
+        m_pool.giveBack("e0", connection, now());
+        CPPUNIT_ASSERT(m_pool.take("e0", {}, now()) == connection);
+        return connection;
+    }
+
     static void startStream(ServerConnection &connection, const Request &request)
     {
         connection.write(answerHead(request));
