comfreyd counts the engines' sockets in its limit of sockets

Each chat has two sockets, its caller's and its engine's; the limit allowed for one, so sound chats below traffic_threads were refused. No test of its own.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -37,7 +37,8 @@
 {
     AccountLimits limits;
     limits.bytes = (std::size_t{settings.router.memoryMb} << 20) / kHeldDivisor;
-    limits.sockets = settings.router.trafficThreads + kSpareConnections;
+    // Each chat has its caller's socket and its engine's.
+    limits.sockets = 2 * std::size_t{settings.router.trafficThreads} + kSpareConnections;
     return limits;
 }
 
