Kept crashes: records that the store refuses for good don't block later ones

A batch that the store answered with 4xx was repeated for ever and held up all later records. CrashStoreTest::refusedAppendDoesNotBlockLaterOnes before: the call after 413 had the same records. CrashRecordsTest names the outcomes instead of true and false; what it asserts is unchanged.

--- a/src/gateway/keptcrashes.cpp
+++ b/src/gateway/keptcrashes.cpp
@@ -81,16 +81,20 @@
     return m_records.takeBatch(readsStore, now);
 }
 
-void KeptCrashes::onWritten(std::size_t records, const std::string &problem, TimePoint now)
+void KeptCrashes::onWritten(std::size_t records, CrashWrite outcome, const std::string &problem,
+                            TimePoint now)
 {
-    m_records.onWritten(problem.empty(), now);
+    m_records.onWritten(outcome, now);
     m_metrics.count("comfrey_crash_store_writes_total",
-                    problem.empty() ? "outcome=\"written\"" : "outcome=\"failed\"");
+                    outcome == CrashWrite::Written       ? "outcome=\"written\""
+                        : outcome == CrashWrite::Refused ? "outcome=\"refused\""
+                                                         : "outcome=\"failed\"");
+    m_metrics.set("comfrey_crash_records_refused", static_cast<double>(m_records.refusedCount()));
     m_metrics.set("comfrey_crash_records_omitted", static_cast<double>(m_records.omittedCount()));
-    LogLine line(m_log, problem.empty() ? "crashes-kept" : "crashes-not-kept", now);
+    LogLine line(m_log, outcome == CrashWrite::Written ? "crashes-kept" : "crashes-not-kept", now);
     line.add("records", static_cast<std::int64_t>(records));
-    if (!problem.empty())
-        line.add("reason", problem);
+    if (outcome != CrashWrite::Written)
+        line.add("reason", problem).add("repeated", outcome == CrashWrite::Failed ? "yes" : "no");
 }
 
 bool KeptCrashes::onRead(const std::vector<StoredCrash> &records, std::uint64_t wallTime,
--- a/src/gateway/keptcrashes.h
+++ b/src/gateway/keptcrashes.h
@@ -34,8 +34,9 @@
     /// Records to append to the store in one call; empty if none is due. `readsStore` as in
     /// CrashRecords::takeBatch().
     std::vector<StoredCrash> takeBatch(bool readsStore, std::uint64_t wallTime, TimePoint now);
-    /// The call ended; `problem` is empty if it succeeded.
-    void onWritten(std::size_t records, const std::string &problem, TimePoint now);
+    /// The call ended; `problem` says why it did not succeed.
+    void onWritten(std::size_t records, CrashWrite outcome, const std::string &problem,
+                   TimePoint now);
     /// Adds all records of the store to those that routers share. True if the feed changed.
     bool onRead(const std::vector<StoredCrash> &records, std::uint64_t wallTime, TimePoint now);
 
--- a/src/quarantine/crashrecords.cpp
+++ b/src/quarantine/crashrecords.cpp
@@ -158,15 +158,19 @@
     return m_batch;
 }
 
-void CrashRecords::onWritten(bool isDone, TimePoint now)
+void CrashRecords::onWritten(CrashWrite outcome, TimePoint now)
 {
     m_isCalling = false;
-    if (!isDone) {
+    if (outcome == CrashWrite::Failed) {
         m_retryDelay = std::clamp(m_retryDelay * 2, kMinCallInterval, kMaxRetryDelay);
         m_nextCallAt = now + m_retryDelay;
         return;
     }
     m_retryDelay = Duration(0);
+    if (outcome == CrashWrite::Refused) {
+        m_refused += m_batch.size();
+        m_batchKept.clear();
+    }
     m_batch.clear();
     for (const auto &[key, kept] : std::exchange(m_batchKept, {}))
         keep(key, kept);
--- a/src/quarantine/crashrecords.h
+++ b/src/quarantine/crashrecords.h
@@ -49,6 +49,13 @@
     Duration age{0};
 };
 
+/// How a call that writes ended.
+enum class CrashWrite : std::uint8_t {
+    Written,
+    Failed,  ///< Perhaps not done; a repeat may succeed.
+    Refused, ///< The store won't take these records.
+};
+
 /// The outcome of a read of all records.
 struct CrashRecall
 {
@@ -75,14 +82,16 @@
     /// Records for one call of the store; empty if no call is due. A call ends with onWritten().
     /// `readsStore`: this router reads the store for others, and removes what nobody else will.
     std::vector<StoredCrash> takeBatch(bool readsStore, TimePoint now);
-    /// The call ended. One that may not have been done is repeated later.
-    void onWritten(bool isDone, TimePoint now);
+    /// The call ended. A failed one is repeated later, the records of a refused one are dropped.
+    void onWritten(CrashWrite outcome, TimePoint now);
     /// Evaluates all records of the store. `wallTime` is in Unix milliseconds.
     CrashRecall recall(const std::vector<StoredCrash> &records, std::uint64_t wallTime,
                        TimePoint now);
 
     /// Records that are known to be in the store.
     std::size_t keptCount() const { return m_kept.size(); }
+    /// Records that the store refused.
+    std::uint64_t refusedCount() const { return m_refused; }
     /// First crashes that were not written since many servers crashed at once, or for want of room.
     std::uint64_t omittedCount() const { return m_omitted; }
 
@@ -130,6 +139,7 @@
     TimePoint m_nextCallAt = TimePoint::min();
     Duration m_retryDelay{0};
     std::uint64_t m_omitted = 0;
+    std::uint64_t m_refused = 0;
 };
 
 } // namespace comfrey
--- a/tests/crashrecordstest.cpp
+++ b/tests/crashrecordstest.cpp
@@ -60,7 +60,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("r1 e1@1"), batch.front().key);
         CPPUNIT_ASSERT_EQUAL(std::string("1 1790000000000 0 0 r1"), *batch.front().value);
         records.onCrash(crashOf(1, "e1@1"), true, at(1));
-        records.onWritten(true, at(5));
+        records.onWritten(CrashWrite::Written, at(5));
         records.onCrash(crashOf(1, "e1@1"), true, at(10));
         CPPUNIT_ASSERT(records.takeBatch(true, at(60000)).empty());
     }
@@ -83,9 +83,9 @@
         for (int server = 0; server < 5; ++server)
             records.onCrash(crashOf(10, 'e' + std::to_string(server)), server == 4, at(0));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), records.takeBatch(false, at(0)).size());
-        records.onWritten(true, at(1));
+        records.onWritten(CrashWrite::Written, at(1));
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), records.takeBatch(false, at(2000)).size());
-        records.onWritten(true, at(2001));
+        records.onWritten(CrashWrite::Written, at(2001));
         for (int server = 10; server < 15; ++server)
             records.onCrash(crashOf(11, 'e' + std::to_string(server)), false, at(4000));
         CPPUNIT_ASSERT(records.takeBatch(false, at(6000)).empty());
@@ -99,7 +99,7 @@
             records.onCrash(crashOf(request, "e1@1"), true, at(0));
         CPPUNIT_ASSERT_EQUAL(CrashRecords::kMaxBatch, records.takeBatch(false, at(0)).size());
         CPPUNIT_ASSERT(records.takeBatch(false, at(5000)).empty()); // The call is under way.
-        records.onWritten(true, at(5000));
+        records.onWritten(CrashWrite::Written, at(5000));
         CPPUNIT_ASSERT_EQUAL(std::size_t(8), records.takeBatch(false, at(5000)).size());
     }
 
@@ -108,7 +108,7 @@
         CrashRecords records("r1");
         records.onCrash(crashOf(1, "e1@1"), true, at(0));
         CPPUNIT_ASSERT(!records.takeBatch(false, at(0)).empty());
-        records.onWritten(true, at(1));
+        records.onWritten(CrashWrite::Written, at(1));
         records.onCrash(crashOf(1, "e2@1"), true, at(2));
         CPPUNIT_ASSERT(records.takeBatch(false, at(999)).empty());
         std::int64_t now = 1000;
@@ -117,7 +117,7 @@
             if (records.takeBatch(false, at(now)).empty())
                 continue;
             ++calls;
-            records.onWritten(false, at(now));
+            records.onWritten(CrashWrite::Failed, at(now));
         }
         // After 1, 2, 4, 8, 16, then 30 s each.
         CPPUNIT_ASSERT_EQUAL(std::size_t(14), calls);
@@ -128,7 +128,7 @@
         CrashRecords records("r1");
         records.onCrash(crashOf(1, "e1@1"), true, at(0));
         const auto first = records.takeBatch(false, at(0));
-        records.onWritten(false, at(1500));
+        records.onWritten(CrashWrite::Failed, at(1500));
         records.onCrash(crashOf(1, "e2@1"), true, at(1500));
         const auto second = records.takeBatch(false, at(2500));
         CPPUNIT_ASSERT_EQUAL(first.size(), second.size());
@@ -141,12 +141,12 @@
         CrashRecords records("r1");
         records.onCrash(crashOf(1, "e1@1"), true, at(0));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), records.takeBatch(false, at(0)).size());
-        records.onWritten(false, at(100));
+        records.onWritten(CrashWrite::Failed, at(100));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), records.takeBatch(false, at(2100)).size());
-        records.onWritten(true, at(2200));
+        records.onWritten(CrashWrite::Written, at(2200));
         // Nor is a removal lost.
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), records.takeBatch(false, at(600000)).size());
-        records.onWritten(false, at(600100));
+        records.onWritten(CrashWrite::Failed, at(600100));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), records.takeBatch(false, at(602100)).size());
     }
 
@@ -157,7 +157,7 @@
         writer.takeBatch(false, at(0));
         writer.onCleared(CrashSubject::Request, 1, kWallTime,
                          at(1)); // While the call is under way.
-        writer.onWritten(true, at(5));
+        writer.onWritten(CrashWrite::Written, at(5));
         const auto removal = writer.takeBatch(false, at(1000));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), removal.size());
         CPPUNIT_ASSERT(!removal.front().value);
@@ -176,7 +176,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), batch.size());
         CPPUNIT_ASSERT(batch.front().value);
         records.onCleared(CrashSubject::Request, 1, kWallTime - 1, at(1)); // The call is under way.
-        records.onWritten(true, at(2));
+        records.onWritten(CrashWrite::Written, at(2));
         CPPUNIT_ASSERT(records.takeBatch(false, at(5000)).empty());
         records.onCleared(CrashSubject::Request, 1, kWallTime, at(5000));
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), records.takeBatch(false, at(5000)).size());
@@ -187,10 +187,10 @@
         CrashRecords records("r1");
         records.onCrash(crashOf(1, "e1@1"), true, at(0));
         records.takeBatch(false, at(0));
-        records.onWritten(true, at(1));
+        records.onWritten(CrashWrite::Written, at(1));
         CPPUNIT_ASSERT(records.takeBatch(false, at(599999)).empty());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), records.takeBatch(false, at(600000)).size());
-        records.onWritten(true, at(600001));
+        records.onWritten(CrashWrite::Written, at(600001));
         CPPUNIT_ASSERT(records.takeBatch(true, at(9000000)).empty());
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), records.keptCount());
     }
--- a/tests/traffic/crashingfleet.cpp
+++ b/tests/traffic/crashingfleet.cpp
@@ -71,7 +71,8 @@
         else
             keptCrashes.erase(record.key);
     }
-    kept.onWritten(batch.size(), isStoreDown ? "the store is down" : "", now());
+    kept.onWritten(batch.size(), isStoreDown ? CrashWrite::Failed : CrashWrite::Written,
+                   isStoreDown ? "the store is down" : "", now());
 }
 
 FleetConfig CrashingFleet::config()
--- a/tests/traffic/crashstoretest.cpp
+++ b/tests/traffic/crashstoretest.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(repeatedCrashIsAppended);
     CPPUNIT_TEST(appendWithoutAnswerIsRepeatedUnchanged);
     CPPUNIT_TEST(onlyAppendWithoutAnswerIsRepeated);
+    CPPUNIT_TEST(refusedAppendDoesNotBlockLaterOnes);
     CPPUNIT_TEST(crashOutlastsOlderClearing);
     CPPUNIT_TEST(clearingForgetsOlderCrashesOnly);
     CPPUNIT_TEST(clearingOfKnownCrashCountsDespiteClocks);
@@ -177,6 +178,17 @@
         CPPUNIT_ASSERT_EQUAL(m_store.requests[1].second, m_store.requests[3].second);
     }
 
+    void refusedAppendDoesNotBlockLaterOnes()
+    {
+        m_store.answers = {R"(200 {"items":[]})", "413 ", "429 "};
+        crash("e1@1");
+        CPPUNIT_ASSERT(runUntilDone([this] { return m_store.requests.size() >= 2; }));
+        crash("e2@1");
+        CPPUNIT_ASSERT(runUntilDone([this] { return m_store.requests.size() >= 4; }));
+        CPPUNIT_ASSERT(m_store.requests[1].second != m_store.requests[2].second);
+        CPPUNIT_ASSERT_EQUAL(m_store.requests[2].second, m_store.requests[3].second);
+    }
+
     /// A reader starts again: the store has a crash that came after the clearing.
     void crashOutlastsOlderClearing()
     {
