Shared queue: while no server can be reached, only what the next try can take waits

Cause: requests that were kept for the end of a pause were refused late when the servers refused connections again. Change: while all servers are paused after failed connections, no more requests are planned than get a lease as soon as the first pause ends; the others are refused as they arrive. Test: ServiceQueueServersTest::arrivalsWhileServersStayUnreachableAreNotRefusedLate; its load gave 'Expected: 0, Actual: 198' late refusals before.

--- a/src/dispatch/servicequeue.cpp
+++ b/src/dispatch/servicequeue.cpp
@@ -219,6 +219,19 @@
     return from;
 }
 
+std::size_t ServiceQueue::roomAt(TimePoint from, TimePoint now) const
+{
+    std::size_t room = 0;
+    for (const auto &[hash, server] : m_servers) {
+        if (server.consecutiveConnectFailures == 0 || server.pausedUntil <= now)
+            return std::numeric_limits<std::size_t>::max();
+        if (server.pausedUntil <= from)
+            room +=
+                server.slots + kExtraLeases - std::min(server.leases, server.slots + kExtraLeases);
+    }
+    return hasServers() ? room : std::numeric_limits<std::size_t>::max();
+}
+
 double ServiceQueue::drainRate() const
 {
     return m_drainRate.perSecond(totalSlots() * 1e6 / static_cast<double>(meanLeaseTime().count()));
@@ -239,17 +252,24 @@
     const double rate = kDrainOptimism * drainRate();
     const Duration leaseTime = meanLeaseTime();
     const TimePoint from = nextGrantFrom(now);
+    const std::size_t room = roomAt(from, now);
+    // Those of `room` that are taken: kept requests stay in any case.
+    auto taken = static_cast<std::size_t>(
+        std::count_if(m_waiting.begin(), m_waiting.end(),
+                      [&](const WaitingRequest &waiting) { return isKept(waiting, now); }));
     std::size_t before = 0; ///< Requests that are served first.
     std::vector<std::pair<Place, WaitingRequests::iterator>> late;
     for (auto &[place, waiting] : order) {
         const TimePoint grantedAt = from + timeFor(before + 1, rate);
         if (place.timeClass == Place::Class::OnTime
-            && grantedAt + leaseTime > waiting->request.onTimeDeadline)
+            && ((taken >= room && !isKept(*waiting, now))
+                || grantedAt + leaseTime > waiting->request.onTimeDeadline))
             place.timeClass = Place::Class::Late;
         if (place.timeClass == Place::Class::Late) {
             late.emplace_back(place, waiting);
             continue;
         }
+        taken += isKept(*waiting, now) ? 0 : 1;
         waiting->isPlanned = true;
         ++before;
     }
@@ -261,7 +281,10 @@
     const Duration drainTime = timeFor(before, rate);
     for (const auto &[place, waiting] : late) {
         if (isKept(*waiting, now)
-            || from + timeFor(before + 1, spareRate) + needed <= waiting->request.answerDeadline) {
+            || (taken < room
+                && from + timeFor(before + 1, spareRate) + needed
+                    <= waiting->request.answerDeadline)) {
+            taken += isKept(*waiting, now) ? 0 : 1;
             waiting->isPlanned = true;
             ++before;
             continue;
--- a/src/dispatch/servicequeue.h
+++ b/src/dispatch/servicequeue.h
@@ -196,6 +196,9 @@
     bool isSaturated() const;
     /// The time at which the first server's pause ends; `now` if one is not paused.
     TimePoint nextGrantFrom(TimePoint now) const;
+    /// Requests that may wait: while no server can be reached, only those that get a lease as
+    /// soon as one is tried again at `from`, since it may fail then too.
+    std::size_t roomAt(TimePoint from, TimePoint now) const;
     double drainRate() const; ///< Leases a second that the servers can end.
     /// Ages the request and grant counts of all organisations.
     void decayCounts(TimePoint now);
--- a/tests/servicequeueserverstest.cpp
+++ b/tests/servicequeueserverstest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST_SUITE(ServiceQueueServersTest);
     CPPUNIT_TEST(returningServersKeepTheDrainRate);
     CPPUNIT_TEST(arrivalsDuringAPauseOfAllServersAreNotRefusedLate);
+    CPPUNIT_TEST(arrivalsWhileServersStayUnreachableAreNotRefusedLate);
     CPPUNIT_TEST(retryThatHasTriedEveryServerIsRefusedAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
@@ -63,28 +64,11 @@
     }
 
     /// All servers refuse connections and are back after the longest pause.
-    void arrivalsDuringAPauseOfAllServersAreNotRefusedLate()
+    void arrivalsDuringAPauseOfAllServersAreNotRefusedLate() { checkPause(LeaseOutcome::Answered); }
+
+    void arrivalsWhileServersStayUnreachableAreNotRefusedLate()
     {
-        enqueueMany(kMaxLeases, 0);
-        for (const LeaseDecision &decision : m_queue.decide(at(0)))
-            m_queue.release(decision.leaseId, LeaseOutcome::Unreachable, at(1));
-        std::vector<std::pair<std::int64_t, std::uint64_t>> leases;
-        for (std::int64_t ms = 2; ms < 6000; ++ms) {
-            std::erase_if(leases, [&](const auto &lease) {
-                if (lease.first > ms)
-                    return false;
-                m_queue.release(lease.second, LeaseOutcome::Answered, at(ms));
-                return true;
-            });
-            if (ms % 20 == 0 && ms < 5000)
-                enqueueMany(5, ms);
-            for (const LeaseDecision &decision : m_queue.decide(at(ms))) {
-                if (decision.leaseId != 0)
-                    leases.emplace_back(ms + 45, decision.leaseId);
-            }
-        }
-        CPPUNIT_ASSERT(m_queue.counts().refusedAtOnce > 500);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, m_queue.counts().refusedLate);
+        checkPause(LeaseOutcome::Unreachable);
     }
 
     void retryThatHasTriedEveryServerIsRefusedAtOnce()
@@ -108,6 +92,31 @@
     }
 
 private:
+    /// `later` is the outcome of the leases after the first pause.
+    void checkPause(LeaseOutcome later)
+    {
+        enqueueMany(kMaxLeases, 0);
+        for (const LeaseDecision &decision : m_queue.decide(at(0)))
+            m_queue.release(decision.leaseId, LeaseOutcome::Unreachable, at(1));
+        std::vector<std::pair<std::int64_t, std::uint64_t>> leases;
+        for (std::int64_t ms = 2; ms < 6000; ++ms) {
+            std::erase_if(leases, [&](const auto &lease) {
+                if (lease.first > ms)
+                    return false;
+                m_queue.release(lease.second, later, at(ms));
+                return true;
+            });
+            if (ms % 20 == 0 && ms < 5000)
+                enqueueMany(5, ms);
+            for (const LeaseDecision &decision : m_queue.decide(at(ms))) {
+                if (decision.leaseId != 0)
+                    leases.emplace_back(ms + 45, decision.leaseId);
+            }
+        }
+        CPPUNIT_ASSERT(m_queue.counts().refusedAtOnce > 500);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, m_queue.counts().refusedLate);
+    }
+
     LeaseRequest request(std::int64_t ms)
     {
         LeaseRequest result;
