--- a/src/dispatch/fleetconfig.h
+++ b/src/dispatch/fleetconfig.h
@@ -54,7 +54,7 @@
 /// Traits of one model engine of a service.
 struct EngineTraits
 {
-    std::uint32_t slots = 0;       ///< Maximum concurrent requests.
+    std::uint32_t slots = 0;       ///< Maximum concurrent requests; 0: not told.
     std::uint64_t cacheTokens = 0; ///< Memory for running requests and cached prompts, in tokens.
 };
 
--- a/tests/traffic/parsingtest.cpp
+++ b/tests/traffic/parsingtest.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(replicaRecordWithInvalidMemberIsRejected);
     CPPUNIT_TEST(replicaRecordIsDecoded);
     CPPUNIT_TEST(configIsDecoded);
+    CPPUNIT_TEST(engineWithoutSlotsHasUnknownSlots);
     CPPUNIT_TEST(configWithoutRequiredMemberIsRejected);
     CPPUNIT_TEST(evacuatedZoneIsReadFromKey);
     CPPUNIT_TEST(requestFactsAreReadFromHeaders);
@@ -163,6 +164,16 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), *config->organisations[0].priority);
     }
 
+    void engineWithoutSlotsHasUnknownSlots()
+    {
+        const auto config = platform::decodeConfig(
+            R"({"version":7,"routes":[],"services":[{"name":"a","engine":{"kv_capacity_tokens":811330}}]})");
+        CPPUNIT_ASSERT(config);
+        CPPUNIT_ASSERT(config->services[0].engine);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(0), config->services[0].engine->slots);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(811330), config->services[0].engine->cacheTokens);
+    }
+
     void configWithoutRequiredMemberIsRejected()
     {
         CPPUNIT_ASSERT(!platform::decodeConfig("{}"));
