Heads of running requests are not counted as freed by refusals

wouldSuffice() took all heads and bodies read ahead as if they came free by refusing arriving requests; now it takes those of arriving requests alone, so that nobody is refused for nothing.

CallerAccountTest, before: headOfARunningRequestIsNotCountedAsFreed failed (memoryVictim == nullptr), 11 of 12; now 12 of 12, in a program of its own.

--- a/src/memory/calleraccount.cpp
+++ b/src/memory/calleraccount.cpp
@@ -42,6 +42,14 @@
     return bodyOf(m_held) > CallerAccount::kSmallBody;
 }
 
+std::size_t CallerShare::arrivingBytes() const
+{
+    if (m_stage != CallerStage::Arriving)
+        return 0;
+    return m_held[static_cast<std::size_t>(HeldKind::ArrivingBody)]
+        + m_held[static_cast<std::size_t>(HeldKind::Head)];
+}
+
 void CallerShare::join(std::shared_ptr<CallerAccount> account, TimePoint now)
 {
     m_account = std::move(account);
@@ -70,10 +78,12 @@
     if (!m_account || own == bytes)
         return;
     const bool wasLarge = isLarge();
+    const std::size_t arrivingBefore = arrivingBytes();
     std::size_t &sum = m_account->m_held[static_cast<std::size_t>(kind)];
     sum = sum - own + bytes;
     m_account->m_total = m_account->m_total - own + bytes;
     own = bytes;
+    m_account->m_arriving = m_account->m_arriving - arrivingBefore + arrivingBytes();
     if (wasLarge != isLarge())
         m_account->m_largeBodies += wasLarge ? std::size_t(-1) : std::size_t(1);
 }
@@ -94,11 +104,13 @@
     if (m_stage == stage)
         return;
     const CallerStage before = m_stage;
+    const std::size_t arrivingBefore = arrivingBytes();
     m_stage = stage;
     m_sinceProgress = 0;
     m_progressAt = now;
     if (!m_account)
         return;
+    m_account->m_arriving = m_account->m_arriving - arrivingBefore + arrivingBytes();
     auto &list = m_account->m_stages[static_cast<std::size_t>(stage)];
     list.splice(list.end(), m_account->m_stages[static_cast<std::size_t>(before)], m_position);
 }
@@ -113,10 +125,7 @@
 
 bool CallerAccount::wouldSuffice(const CallerShare *newcomer) const
 {
-    std::size_t kept = m_total - held(HeldKind::ArrivingBody) - held(HeldKind::Head);
-    if (newcomer)
-        kept += newcomer->m_held[static_cast<std::size_t>(HeldKind::ArrivingBody)]
-            + newcomer->m_held[static_cast<std::size_t>(HeldKind::Head)];
+    const std::size_t kept = m_total - m_arriving + (newcomer ? newcomer->arrivingBytes() : 0);
     return kept <= (newcomer && newcomer->isLarge() ? largeLimit() : m_limits.bytes);
 }
 
--- a/src/memory/calleraccount.h
+++ b/src/memory/calleraccount.h
@@ -74,6 +74,8 @@
     friend class CallerAccount;
 
     bool isLarge() const;
+    /// What comes free if the request that arrives is refused.
+    std::size_t arrivingBytes() const;
 
     std::shared_ptr<CallerAccount> m_account; ///< Null while nothing is counted.
     std::array<std::size_t, kHeldKinds> m_held{};
@@ -136,6 +138,7 @@
     AccountLimits m_limits;
     std::array<std::size_t, kHeldKinds> m_held{}; ///< Sums over all shares; they add up to m_total.
     std::size_t m_total = 0;
+    std::size_t m_arriving = 0;    ///< Sum of CallerShare::arrivingBytes().
     std::size_t m_largeBodies = 0; ///< Shares with a body over kSmallBody.
     std::size_t m_callers = 0;
     std::size_t m_serverSockets = 0; ///< Open ones.
--- a/tests/calleraccounttest.cpp
+++ b/tests/calleraccounttest.cpp
@@ -25,6 +25,7 @@
     void end(TimePoint now) { setStage(CallerStage::Unread, now); }
     void close() { leave(); }
     void body(std::size_t bytes) { hold(HeldKind::ArrivingBody, bytes); }
+    void head(std::size_t bytes) { hold(HeldKind::Head, bytes); }
     void answer(std::size_t bytes) { hold(HeldKind::Answer, bytes); }
     void receive(std::size_t bytes, TimePoint now) { progress(bytes, now); }
 
@@ -47,6 +48,7 @@
     CPPUNIT_TEST(callerWithoutProgressGivesWayFirst);
     CPPUNIT_TEST(trickledBytesAreNoProgress);
     CPPUNIT_TEST(nobodyGivesWayForNothing);
+    CPPUNIT_TEST(headOfARunningRequestIsNotCountedAsFreed);
     CPPUNIT_TEST(oldestCallerIsRefusedItself);
     CPPUNIT_TEST(requestInFlightNeverGivesWay);
     CPPUNIT_TEST(readerGivesWayOnlyAfterItsTime);
@@ -133,6 +135,20 @@
         CPPUNIT_ASSERT(memoryVictim(large.get(), 3) == small.get());
     }
 
+    void headOfARunningRequestIsNotCountedAsFreed()
+    {
+        auto running = caller(0);
+        running->head(kLimit);
+        running->run(at(0));
+        auto stopped = arriving(1);
+        stopped->head(1000);
+        auto newcomer = arriving(2);
+        newcomer->head(1000);
+        CPPUNIT_ASSERT(memoryVictim(newcomer.get(), 3) == nullptr);
+        running->head(kLimit / 2);
+        CPPUNIT_ASSERT(memoryVictim(newcomer.get(), 3) == stopped.get());
+    }
+
     void oldestCallerIsRefusedItself()
     {
         auto oldest = arriving(0);
