--- a/src/traffic/callerconnection.cpp
+++ b/src/traffic/callerconnection.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr std::size_t kMaxPipelinedBytes = 65536;       ///< Read ahead of the present request.
-constexpr std::size_t kMaxPipelinedBytesIfTight = 4096; ///< As above, while memory is short.
 /// An answer that is not taken so far keeps the caller's next request waiting.
 constexpr std::size_t kMaxUnreadBytes = std::size_t{128} * 1024;
 /// Of a connection besides its buffers: entries of lists and what the allocator adds.
@@ -23,7 +21,7 @@
 /// A caller that takes nothing for so long is gone: longer than any of its own time limits.
 constexpr Duration kStalledLimit = milliseconds(30000);
 
-constexpr unsigned kTooBusy = 503;
+constexpr unsigned kServiceUnavailable = 503;
 constexpr std::string_view kRetryAfter = "1"; ///< Seconds in which others have given way.
 
 void appendStatusLine(std::string &out, unsigned status)
@@ -174,13 +172,13 @@
     m_parser.reset();
     setState(State::Busy);
     m_bodyBytes = body.size();
+    m_isHead = head.method == "HEAD";
     count();
     if (!makeRoom())
         return;
     m_stateSince = m_now;
     m_keepsAlive = head.keepsAlive;
     m_minorVersion = head.minorVersion;
-    m_isHead = head.method == "HEAD";
     m_responseStarted = false;
     m_handler.onRequest(shared_from_this(), std::move(head), std::move(body));
 }
@@ -188,117 +186,18 @@
 void CallerConnection::refuse(unsigned status, std::string_view reason)
 {
     ResponseContent content = m_handler.onBadRequest(status, reason);
-    if (status == kTooBusy)
+    if (status == kServiceUnavailable)
         content.fields.push_back({"Retry-After", std::string(kRetryAfter)});
+    if (m_parser)
+        m_isHead = m_parser->hasHead() && m_parser->head().method == "HEAD";
     m_parser.reset();
     m_unparsed = std::string();
     setState(State::Busy);
     m_keepsAlive = false;
     m_minorVersion = 1;
-    m_isHead = false;
     respond(status, std::move(content.fields), content.body, true);
 }
 
-void CallerConnection::refuseForShortage(Shortage shortage)
-{
-    refuse(kTooBusy,
-           shortage == Shortage::Memory ? "no memory is left for this request"
-                                        : "no descriptor is left for this request");
-}
-
-void CallerConnection::giveWay(Shortage shortage)
-{
-    const auto self = shared_from_this();
-    if (m_state == State::Reading) {
-        refuseForShortage(shortage);
-        // Its socket is what is needed; the refusal is on its way.
-        if (shortage == Shortage::Sockets)
-            close();
-        return;
-    }
-    if (m_state != State::Closing || m_writer.backlog() > 0)
-        m_handler.onCallerClosed(shortage);
-    if (m_writer.backlog() > 0)
-        abort();
-    else
-        close();
-}
-
-bool CallerConnection::makeRoom()
-{
-    CallerAccount *const all = account();
-    while (all && all->isOver(*this)) {
-        CallerShare *const other = all->victim(Shortage::Memory, this, m_now);
-        if (!other) {
-            refuseForShortage(Shortage::Memory);
-            return false;
-        }
-        other->giveWay(Shortage::Memory);
-    }
-    return true;
-}
-
-bool CallerConnection::makeRoomForSending()
-{
-    CallerAccount *const all = account();
-    while (all && all->lacksSocket()) {
-        if (m_handler.closeKeptServer())
-            continue;
-        CallerShare *const other = all->victim(Shortage::Sockets, this, m_now);
-        if (!other) {
-            refuseForShortage(Shortage::Sockets);
-            return false;
-        }
-        other->giveWay(Shortage::Sockets);
-    }
-    return true;
-}
-
-void CallerConnection::count()
-{
-    if (!account())
-        return;
-    const bool isRunning = m_state == State::Busy;
-    hold(HeldKind::Head, m_headBytes + m_unparsed.capacity());
-    hold(HeldKind::ArrivingBody, m_parser ? m_parser->body().size() : 0);
-    hold(HeldKind::RunningBody, m_bodyBytes);
-    const std::size_t answer = m_writer.backlog() + m_answerBytes;
-    hold(HeldKind::Answer, isRunning ? std::max(answer, CallerAccount::kAnswerReserve) : answer);
-    setStage(stage(), m_now);
-}
-
-CallerStage CallerConnection::stage() const
-{
-    switch (m_state) {
-    case State::Idle:
-        return m_writer.backlog() > 0 ? CallerStage::Unread : CallerStage::Idle;
-    case State::Reading:
-        return CallerStage::Arriving;
-    case State::Busy:
-        return CallerStage::Running;
-    case State::Closing:
-        return m_writer.backlog() > 0 ? CallerStage::Unread : CallerStage::Closing;
-    }
-    return CallerStage::Running;
-}
-
-void CallerConnection::setState(State state)
-{
-    m_state = state;
-    setStage(stage(), m_now);
-}
-
-void CallerConnection::holdAnswer(std::size_t bytes)
-{
-    m_answerBytes = bytes;
-    count();
-}
-
-std::size_t CallerConnection::mostPipelinedBytes() const
-{
-    return isMemoryTight() ? kMaxPipelinedBytesIfTight : kMaxPipelinedBytes;
-}
-
 bool CallerConnection::closesAfterResponse() const
 {
     return !m_keepsAlive || m_handler.isStopping();
@@ -484,7 +383,9 @@
 bool CallerConnection::sweep(TimePoint now)
 {
     m_now = now;
-    if (m_isOpen && (m_writer.isBroken() || isWriteStalled(now))) {
+    if (!m_isOpen)
+        return false;
+    if ((m_writer.isBroken() || isWriteStalled(now))) {
         onDrained(false);
         return false;
     }
@@ -514,6 +415,8 @@
 {
     m_isOpen = false;
     leave();
+    m_parser.reset();
+    m_unparsed = std::string();
     boost::system::error_code ignored; // A socket that does not close is closed already.
     m_socket.close(ignored);
 }
--- a/tests/traffic/callerconnectiontest.cpp
+++ b/tests/traffic/callerconnectiontest.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(callerThatTakesSlowlyIsKept);
     CPPUNIT_TEST(halfClosedCallerIsGoneUnlessTheHandlerServesIt);
     CPPUNIT_TEST(halfClosedCallerThatLeftIsFoundByTheNextWrites);
+    CPPUNIT_TEST(refusedHeadRequestGetsNoBody);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -139,6 +140,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_listener.connectionCount());
     }
 
+    void refusedHeadRequestGetsNoBody()
+    {
+        RawCaller caller(m_loop, m_listener.port());
+        caller.send("HEAD /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+        runFor(m_loop, milliseconds(20));
+        caller.send("no length\r\n");
+        CPPUNIT_ASSERT(runUntil(m_loop, [&] { return caller.isClosed(); }));
+        CPPUNIT_ASSERT(caller.received().starts_with("HTTP/1.1 400 "));
+        CPPUNIT_ASSERT(caller.received().ends_with("\r\n\r\n"));
+    }
+
 private:
     /// Over what both sockets' buffers take on loopback.
     static constexpr std::size_t kMoreThanBuffers = std::size_t{32} << 20;
