--- a/tests/threaded/callerservertest.cpp
+++ b/tests/threaded/callerservertest.cpp
@@ -120,7 +120,8 @@
         options.maxRequests = 2;
         options.maxBodyBytes = kMaxBodyBytes;
         m_server = std::make_unique<CallerServer>(options, *m_loop, *m_exchanges, *m_decisions,
-                                                  *m_decisions, m_clock);
+                                                  *m_decisions, m_clock,
+                                                  std::make_shared<CallerAccount>(AccountLimits()));
         const Result<int> port = m_server->listen(Endpoint("127.0.0.1:0"));
         CPPUNIT_ASSERT(port.has_value());
         m_port = *port;
--- a/tests/threaded/chatsendertest.cpp
+++ b/tests/threaded/chatsendertest.cpp
@@ -280,7 +280,9 @@
         m_exchange->listen(&m_listener);
         m_loop = std::make_unique<TrafficLoop>();
         m_exchanges.add(m_exchange);
-        m_client = std::make_unique<BackendClient>(*m_loop, m_exchanges, m_sink, m_clock);
+        m_client =
+            std::make_unique<BackendClient>(*m_loop, m_exchanges, m_sink, m_clock,
+                                            std::make_shared<CallerAccount>(AccountLimits()));
         m_loop->start();
         m_lastAttempt = 0;
     }
