--- a/src/configcheck/configdifference.cpp
+++ b/src/configcheck/configdifference.cpp
@@ -1,6 +1,7 @@
 // Compares two configurations entry by entry.
 #include <map>
 #include <string_view>
+#include <utility>
 
 #include "configcheck/fleetconfigcheck.h"
 
@@ -97,8 +98,11 @@
     std::vector<std::string> changed;
     for (const auto &[name, value] : before) {
         const std::string &newValue = after.at(name);
-        if (newValue != value)
-            changed.push_back(name + ": " + value + " -> " + newValue);
+        if (newValue != value) {
+            std::string text = name;
+            text.append(": ").append(value).append(" -> ").append(newValue);
+            changed.push_back(std::move(text));
+        }
     }
     return changed;
 }
