--- a/tests/allowedregionstest.cpp
+++ b/tests/allowedregionstest.cpp
@@ -236,7 +236,7 @@
 
     Admission admitted(const RequestFacts &facts)
     {
-        const Admission admission = m_dispatcher.admit(facts, kNow);
+        Admission admission = m_dispatcher.admit(facts, kNow);
         CPPUNIT_ASSERT(admission.refusal == Refusal::None);
         return admission;
     }
