--- a/tests/crowd/childprocess.cpp
+++ b/tests/crowd/childprocess.cpp
@@ -85,6 +85,7 @@
     if (settings)
         settings();
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (std::string &word : command)
         arguments.push_back(word.data());
     arguments.push_back(nullptr);
--- a/tests/engineadmissiontest.cpp
+++ b/tests/engineadmissiontest.cpp
@@ -77,8 +77,9 @@
         m_admission = std::make_unique<ShareAdmission>(1);
         // Two seconds with room, in which the share is learnt.
         for (int step = 0; step < 100; ++step) {
-            const auto verdict = ask(request("c" + std::to_string(step), step % 3, at(step * 20)),
-                                     room(0.3, kShare * 0.3 * kSlots), step * 20);
+            const std::int64_t ms = std::int64_t{20} * step;
+            const auto verdict = ask(request("c" + std::to_string(step), step % 3, at(ms)),
+                                     room(0.3, kShare * 0.3 * kSlots), ms);
             CPPUNIT_ASSERT(verdict.answer == Answer::Send);
         }
     }
--- a/tests/refusalmemorytest.cpp
+++ b/tests/refusalmemorytest.cpp
@@ -30,9 +30,9 @@
             add(memory, 7, index * 100);
         CPPUNIT_ASSERT_EQUAL(std::size_t{17}, memory.size());
         // The oldest of the 16 is found, the one before is not.
-        CPPUNIT_ASSERT(!memory.take(7, left(983 * 100), at(100400)));
-        CPPUNIT_ASSERT(memory.take(7, left(984 * 100), at(100400)));
-        CPPUNIT_ASSERT(memory.take(7, left(999 * 100), at(100400)));
+        CPPUNIT_ASSERT(!memory.take(7, left(98300), at(100400)));
+        CPPUNIT_ASSERT(memory.take(7, left(98400), at(100400)));
+        CPPUNIT_ASSERT(memory.take(7, left(99900), at(100400)));
         CPPUNIT_ASSERT(memory.take(8, left(0), at(100400)));
         CPPUNIT_ASSERT_EQUAL(std::size_t{14}, memory.size());
     }
