--- a/tests/traffic/sharedqueuelinktest.cpp
+++ b/tests/traffic/sharedqueuelinktest.cpp
@@ -203,8 +203,10 @@
     void requestsWithoutRoomAreRefusedWhileOthersWait()
     {
         grantAllLeases();
+        constexpr int requestCount = 60;
         std::vector<Reply> replies;
-        for (int index = 0; index < 60; ++index)
+        replies.reserve(requestCount);
+        for (int index = 0; index < requestCount; ++index)
             replies.push_back(requestLease(3, milliseconds(150)));
         const auto isRefused = [](const Reply &reply) {
             return reply->has_value() && (*reply)->verdict == LeaseReply::Verdict::Refused;
