comfreyd: the limit of sockets stays below the usual 1,024 descriptors by default

Cause: two sockets a chat and 512 spare ones allowed 1,046 descriptors; DaemonCrowdTest::idleCallersStayUnderDescriptors failed with "open descriptors: 1046 of 1024" (the other 20 crowd tests passed). Change: the larger of one socket a chat with 512 spare ones and two sockets a chat with 64.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,6 +1,7 @@
 // One router process.
 #include "daemon/daemon.h"
 
+#include <algorithm>
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
@@ -21,7 +22,8 @@
 /// Part of the memory that may be held for callers and back ends. The rest is for the program, its
 /// tables, and memory that the allocator keeps.
 constexpr std::size_t kHeldDivisor = 2;
-constexpr std::size_t kSpareConnections = 512; // idle ones, and those that only get a refusal
+constexpr std::size_t kSpareConnections = 512;  // idle ones, and those that only get a refusal
+constexpr std::size_t kMinIdleConnections = 64; ///< Callers between two requests.
 
 CallerServerOptions callerOptions(const Settings &settings, Incarnation incarnation)
 {
@@ -37,8 +39,10 @@
 {
     AccountLimits limits;
     limits.bytes = (std::size_t{settings.router.memoryMb} << 20) / kHeldDivisor;
-    // Each chat has its caller's socket and its engine's.
-    limits.sockets = 2 * std::size_t{settings.router.trafficThreads} + kSpareConnections;
+    // Each chat has its caller's socket and its engine's. With the default number of chats the
+    // process stays below the usual limit of 1,024 descriptors.
+    const std::size_t chats = settings.router.trafficThreads;
+    limits.sockets = std::max(chats + kSpareConnections, 2 * chats + kMinIdleConnections);
     return limits;
 }
 
