--- a/review/standins-2/stage.cpp
+++ b/review/standins-2/stage.cpp
@@ -193,6 +193,12 @@
 }
 
 bool Channel::read(Message &message, long limitMs, bool toEnd)
+{
+    const long until = nowMs() + limitMs;
+    return readHead(message, limitMs) && readBody(message, until - nowMs(), toEnd);
+}
+
+bool Channel::readHead(Message &message, long limitMs)
 {
     const long until = nowMs() + limitMs;
     std::size_t end = std::string::npos;
@@ -214,6 +220,12 @@
                 line.substr(0, colon),
                 line.substr(std::min(line.size(), line.find_first_not_of(' ', colon + 1))));
     }
+    return true;
+}
+
+bool Channel::readBody(Message &message, long limitMs, bool toEnd)
+{
+    const long until = nowMs() + limitMs;
     if (strcasecmp(message.field("Transfer-Encoding").c_str(), "chunked") == 0) {
         while (true) {
             std::size_t lineEnd = std::string::npos;
--- a/review/standins-2/stage.h
+++ b/review/standins-2/stage.h
@@ -62,6 +62,9 @@
     /// A whole message; false if the channel ended or `limitMs` passed first. `toEnd` permits an
     /// answer without a length.
     bool read(Message &message, long limitMs, bool toEnd = false);
+    /// As above, in two steps.
+    bool readHead(Message &message, long limitMs);
+    bool readBody(Message &message, long limitMs, bool toEnd = false);
     /// True if the other side has closed it.
     bool isEnded();
     void close();
