--- a/review/standins-2/caseendlessextra.cpp
+++ b/review/standins-2/caseendlessextra.cpp
@@ -89,6 +89,7 @@
 
 int main(int, char **arguments)
 {
+    endWithParent();
     const std::string folder = arguments[1];
     Record record(folder + "/record.txt");
     const std::string work = arguments[2];
--- a/review/standins-2/casefailedrun.cpp
+++ b/review/standins-2/casefailedrun.cpp
@@ -92,6 +92,7 @@
 
 int main(int, char **arguments)
 {
+    endWithParent();
     const std::string folder = arguments[1];
     Record record(folder + "/record.txt");
     const std::string work = arguments[2];
--- a/review/standins-2/caseforeignkeys.cpp
+++ b/review/standins-2/caseforeignkeys.cpp
@@ -45,6 +45,7 @@
 
 int main(int, char **arguments)
 {
+    endWithParent();
     const std::string folder = arguments[1];
     Record record(folder + "/record.txt");
     const std::string work = arguments[2];
--- a/review/standins-2/casequery.cpp
+++ b/review/standins-2/casequery.cpp
@@ -136,6 +136,7 @@
 
 int main(int, char **arguments)
 {
+    endWithParent();
     const std::string folder = arguments[1];
     Record record(folder + "/record.txt");
     const std::string work = arguments[2];
--- a/review/standins-2/stage.cpp
+++ b/review/standins-2/stage.cpp
@@ -524,4 +524,9 @@
     return !trouble || std::string(trouble) != "0";
 }
 
+void endWithParent()
+{
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
 } // namespace stage
--- a/review/standins-2/stage.h
+++ b/review/standins-2/stage.h
@@ -161,5 +161,7 @@
 
 /// True unless TROUBLE is 0.
 bool hasTrouble();
+/// This process, and with it its routers, ends when the shell that started it does.
+void endWithParent();
 
 } // namespace stage
