--- a/review/standins-2/caseendlessextra.cpp
+++ b/review/standins-2/caseendlessextra.cpp
@@ -17,7 +17,7 @@
 
 constexpr int kRouters = 3;
 constexpr int kReplicas = 4;
-constexpr int kCallers = 12;
+constexpr int kCallers = 18;
 constexpr int kMemoryMb = 260;
 constexpr long kLeadMs = 4000;
 constexpr long kFaultyFromMs = 8000;
