--- a/review/standins-2/stage.cpp
+++ b/review/standins-2/stage.cpp
@@ -154,6 +154,14 @@
     close();
 }
 
+std::uint16_t Channel::ownPort() const
+{
+    sockaddr_in own{};
+    socklen_t size = sizeof own;
+    ::getsockname(m_socket, reinterpret_cast<sockaddr *>(&own), &size);
+    return ntohs(own.sin_port);
+}
+
 Channel Channel::connect(const std::string &address, const std::string &from)
 {
     const int handle = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
--- a/review/standins-2/stage.h
+++ b/review/standins-2/stage.h
@@ -59,6 +59,7 @@
     /// Connects within two seconds; the channel isn't open if that fails.
     static Channel connect(const std::string &address, const std::string &from = {});
     bool isOpen() const { return m_socket >= 0; }
+    std::uint16_t ownPort() const;
     bool write(std::string_view bytes);
     /// A whole message; false if the channel ended or `limitMs` passed first. `toEnd` permits an
     /// answer without a length.
