Bodies that nobody is given are discarded as they arrive

Cause: while a response to another request is discarded, nobody takes the body out of the parser, whose buffer grows with each read.

Change: BackendConnection drops body bytes of such a response after each read, and gives the connection up after 4 MiB. The body of a refusal ("not run") was dropped already, but a retry waited for its end, at the latest until the time limit; it starts after 64 KiB now, on a new connection.

--- a/src/gateway/proxiedrequest.cpp
+++ b/src/gateway/proxiedrequest.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t kMaxBufferedBytes = std::size_t{256} * 1024; ///< Larger answers are streamed.
 constexpr std::size_t kMaxEventBytes =
     std::size_t{256} * 1024; ///< One event of a resumable stream; usual events hold a few tokens.
+constexpr std::size_t kMaxDiscardedBytes =
+    std::size_t{64} * 1024; ///< Above it, a new connection costs less than the rest of the body.
 constexpr std::size_t kMaxCallerBacklog =
     std::size_t{128} * 1024; ///< Above it, reading from the backend server is paused.
 /// Extra time after the route's limit for a server's own timeout answer that is on its way.
@@ -343,6 +345,7 @@
     m_answerBegunAt = TimePoint::min();
     m_isSoundReported = false;
     m_relay = Relay::None;
+    m_discardedBytes = 0;
     m_isAwaitingAnswer = true;
     dispatcher().onAttemptStarted(*m_replica, m_facts, now);
     m_connection = m_gateway.dependencies().pool.take(m_replica->incarnation, *endpoint, now);
@@ -472,7 +475,9 @@
         reportSoundAnswer();
     switch (m_relay) {
     case Relay::None:
+        return;
     case Relay::Discard:
+        discard(bytes);
         return;
     case Relay::Stream:
         relayBody(bytes);
@@ -559,12 +564,7 @@
     const auto replica = m_replica;
     switch (relay) {
     case Relay::Discard:
-        if (m_isAwaitingAnswer)
-            dispatcher().onAbandoned(*replica, Duration(0), now);
-        m_isAwaitingAnswer = false;
-        m_leaseOutcome = LeaseOutcome::NotRun;
-        completeAttempt(now);
-        retryOrGiveUp(AttemptResult::NotRun, "the backend server did not run it");
+        onNotRun(now);
         return;
     case Relay::Stream:
         if (!hasStreamEndedWhole()) {
@@ -592,6 +592,24 @@
     }
 }
 
+void ProxiedRequest::discard(std::string_view bytes)
+{
+    m_discardedBytes += bytes.size();
+    if (m_discardedBytes <= kMaxDiscardedBytes)
+        return;
+    const auto self = shared_from_this();
+    onNotRun(m_gateway.now());
+}
+
+void ProxiedRequest::onNotRun(TimePoint now)
+{
+    if (std::exchange(m_isAwaitingAnswer, false))
+        dispatcher().onAbandoned(*m_replica, Duration(0), now);
+    m_leaseOutcome = LeaseOutcome::NotRun;
+    completeAttempt(now);
+    retryOrGiveUp(AttemptResult::NotRun, "the backend server did not run it");
+}
+
 void ProxiedRequest::deliverBufferedAnswer()
 {
     const TimePoint now = m_gateway.now();
--- a/src/gateway/proxiedrequest.h
+++ b/src/gateway/proxiedrequest.h
@@ -82,7 +82,10 @@
     void sendToChoice(const Choice &choice, TimePoint now);
     /// Ends the lease of the current attempt, if it has one, with m_leaseOutcome.
     void releaseLease(TimePoint now);
+    /// Ends an attempt that the server did not run, and retries.
     void onNotRun(TimePoint now);
+    /// Counts bytes of an answer that is discarded. Ends its attempt if they are too many.
+    void discard(std::string_view bytes);
     /// Ends an attempt whose answer was read whole; its connection may be reused.
     void completeAttempt(TimePoint now);
     /// Writes a part of a streamed body to the caller; of a resumable stream only whole events.
@@ -166,11 +169,12 @@
     std::uint32_t m_possibleRuns = 0; ///< Attempts in which a server may have run the request.
 
     Relay m_relay = Relay::None;
-    BufferedAnswer m_bufferedAnswer; ///< The answer that is being read with Relay::Buffer.
-    BufferedAnswer m_fallbackAnswer; ///< A server's failure; relayed if no retry succeeds.
-    EventSplitter m_eventSplitter;   ///< Splits streams that may be resumed into events.
-    EventBoundary m_eventBoundary;   ///< Of the other streams of events.
-    bool m_isEventStream = false;    ///< The answer is a stream of server-sent events.
+    BufferedAnswer m_bufferedAnswer;  ///< The answer that is being read with Relay::Buffer.
+    BufferedAnswer m_fallbackAnswer;  ///< A server's failure; relayed if no retry succeeds.
+    std::size_t m_discardedBytes = 0; ///< Body bytes of the present attempt's answer.
+    EventSplitter m_eventSplitter;    ///< Splits streams that may be resumed into events.
+    EventBoundary m_eventBoundary;    ///< Of the other streams of events.
+    bool m_isEventStream = false;     ///< The answer is a stream of server-sent events.
     bool m_isResumable = false;  ///< The answer is a stream that can continue at another server.
     bool m_hasFirstByte = false; ///< A part of a streamed body was relayed.
     Duration m_firstByteLatency{
--- a/src/traffic/backendconnection.cpp
+++ b/src/traffic/backendconnection.cpp
@@ -15,6 +15,8 @@
 /// Before a request's own response: a late second answer or an interim one is usual, more are not.
 constexpr std::uint32_t kMostSkipped = 16;
 constexpr std::uint64_t kMaxResponseBytes = std::uint64_t(1) << 40; ///< Relayed, never held whole.
+/// Of a response to another request. The response to this one may follow a long one.
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{4} << 20;
 
 std::optional<Duration> keepAliveOf(const HttpHead &head)
 {
@@ -60,6 +62,7 @@
     m_hasSent = false;
     m_headGiven = false;
     m_discarding = false;
+    m_discardedBytes = 0;
     m_skipped = 0;
     m_paused = false;
     if (m_isOpen) {
@@ -223,12 +226,10 @@
             return;
         if (!m_headGiven && !m_discarding && !takeHead())
             return;
-        if (m_listener && !m_discarding && !m_parser->body().empty()) {
-            const std::string bytes = m_parser->takeBody();
-            m_listener->onBody(bytes);
-        }
         if (!m_listener)
             return;
+        if (!m_parser->body().empty() && !takeBody())
+            return;
         if (!m_parser->isComplete()) {
             if (used == 0)
                 return;
@@ -270,6 +271,20 @@
     return m_listener != nullptr;
 }
 
+bool BackendConnection::takeBody()
+{
+    const std::string bytes = m_parser->takeBody();
+    if (!m_discarding) {
+        m_listener->onBody(bytes);
+        return m_listener != nullptr;
+    }
+    m_discardedBytes += bytes.size();
+    if (m_discardedBytes <= kMaxDiscardedBytes)
+        return true;
+    fail(BreakKind::Malformed);
+    return false;
+}
+
 void BackendConnection::finishResponse()
 {
     BackendListener *listener = std::exchange(m_listener, nullptr);
--- a/src/traffic/backendconnection.h
+++ b/src/traffic/backendconnection.h
@@ -93,7 +93,11 @@
     void onRead(const boost::system::error_code &error, std::size_t count);
     void parse();
     void finishResponse();
+    /// Hands over the head, or marks the response as one to another request. False if the listener
+    /// dropped the connection.
     bool takeHead();
+    /// Hands over or discards the body bytes that were parsed. False if the request has ended.
+    bool takeBody();
     void fail(BreakKind kind);
     void close();
 
@@ -121,6 +125,7 @@
     bool m_reading = false;
     bool m_headGiven = false;         ///< The listener has the head of the present response.
     bool m_discarding = false;        ///< The present response belongs to another request.
+    std::size_t m_discardedBytes = 0; ///< Body bytes of such responses.
     std::uint64_t m_requestCount = 0; ///< Requests that went out, the present one included.
     std::uint32_t m_skipped = 0; ///< Interim and foreign responses before that of this request.
 };
--- a/tests/traffic/loopback.cpp
+++ b/tests/traffic/loopback.cpp
@@ -71,14 +71,16 @@
     boost::asio::write(m_socket, boost::asio::buffer(bytes), ignored);
 }
 
-void ServerConnection::writeEndless(const std::string &unit)
+std::size_t ServerConnection::writeEndless(const std::string &unit)
 {
     constexpr std::size_t kPiece = 16384;
     while (m_unwritten.size() < kPiece)
         m_unwritten += unit;
     boost::system::error_code ignored; // As above; a full buffer takes more later.
     m_socket.non_blocking(true, ignored);
-    m_unwritten.erase(0, m_socket.write_some(boost::asio::buffer(m_unwritten), ignored));
+    const std::size_t written = m_socket.write_some(boost::asio::buffer(m_unwritten), ignored);
+    m_unwritten.erase(0, written);
+    return written;
 }
 
 void ServerConnection::answer(const Request &request, const std::string &body,
--- a/tests/traffic/loopback.h
+++ b/tests/traffic/loopback.h
@@ -49,8 +49,8 @@
 
     void read();
     void write(const std::string &bytes);
-    /// Writes what the other side takes now of endless repetitions of `unit`.
-    void writeEndless(const std::string &unit);
+    /// Writes what the other side takes now of endless repetitions of `unit`. Returns its size.
+    std::size_t writeEndless(const std::string &unit);
     /// A whole answer with the request's id, the signature and a length.
     void answer(const Request &request, const std::string &body, const std::string &fields = {},
                 int status = 200);
