A server's status that promises "not run" is withheld for a request that has run

Cause: what a caller may be told was decided on each path by itself. The router's own refusals looked at the runs; a relayed answer, at once (408, 429) or kept as the last resort after retries (503), did not.

Change: mayBeTold() (src/outcome/runstate.h) decides for the router's own statuses and for servers'. An answer whose status would promise falsely is read and discarded, and counts as the server's failure; the caller gets a 502 of the router's own, without the server's signature. That holds for every kind of route: whoever reads "not run" must be able to rely on it. 421 stays a refusal, as the platform defines it. comfreyd tells "not run" by its own outcome field, which a relayed status does not change.

RunStateTest has the table of statuses and states.

--- a/src/gateway/proxiedrequest.cpp
+++ b/src/gateway/proxiedrequest.cpp
@@ -143,7 +143,7 @@
 {
     const auto self = shared_from_this();
     m_leaseOutcome = LeaseOutcome::Failed;
-    const bool mayHaveRun = m_possibleRuns > 0 || (m_connection && m_connection->hasSent());
+    const bool mayHaveRun = outcomeOf(runState(), false) != Outcome::NotRun;
     abortAttempt();
     if (m_caller->hasStarted()) {
         m_caller->abort();
@@ -419,6 +419,10 @@
         retryOrGiveUp(AttemptResult::Failed, "the stream could not be resumed");
         return;
     }
+    if (!mayBeTold(head.status, runState())) {
+        m_relay = Relay::Withhold;
+        return;
+    }
     m_relay = Relay::Buffer;
     m_bufferedAnswer = {std::move(head), {}};
 }
@@ -471,12 +475,13 @@
     if (m_answerBegunAt == TimePoint::min())
         m_answerBegunAt = m_lastReceivedAt;
     else if (m_lastReceivedAt - m_answerBegunAt >= CrashAttribution::kAnswerStart
-             && m_relay != Relay::Discard)
+             && m_relay != Relay::Discard && m_relay != Relay::Withhold)
         reportSoundAnswer();
     switch (m_relay) {
     case Relay::None:
         return;
     case Relay::Discard:
+    case Relay::Withhold:
         discard(bytes);
         return;
     case Relay::Stream:
@@ -566,6 +571,9 @@
     case Relay::Discard:
         onNotRun(now);
         return;
+    case Relay::Withhold:
+        onServerFailed(now, "the backend server promised falsely that the request did not run");
+        return;
     case Relay::Stream:
         if (!hasStreamEndedWhole()) {
             reportUnanswered(*replica, true, now);
@@ -598,7 +606,11 @@
     if (m_discardedBytes <= kMaxDiscardedBytes)
         return;
     const auto self = shared_from_this();
-    onNotRun(m_gateway.now());
+    const TimePoint now = m_gateway.now();
+    if (m_relay == Relay::Discard)
+        onNotRun(now);
+    else
+        onServerFailed(now, "the backend server promised falsely that the request did not run");
 }
 
 void ProxiedRequest::onNotRun(TimePoint now)
@@ -610,24 +622,28 @@
     retryOrGiveUp(AttemptResult::NotRun, "the backend server did not run it");
 }
 
-void ProxiedRequest::deliverBufferedAnswer()
+void ProxiedRequest::onServerFailed(TimePoint now, std::string_view reason)
 {
-    const TimePoint now = m_gateway.now();
-    const bool failed = m_bufferedAnswer.head.status >= 500;
-    m_leaseOutcome = failed ? LeaseOutcome::Failed : LeaseOutcome::Answered;
     m_isAwaitingAnswer = false;
-    if (failed)
-        dispatcher().onFailure(*m_replica, now);
-    else
-        dispatcher().onAnswer(*m_replica, now - m_sentAt, now);
-    const auto replica = m_replica;
+    m_leaseOutcome = LeaseOutcome::Failed;
+    dispatcher().onFailure(*m_replica, now);
     completeAttempt(now);
-    if (failed) {
+    retryOrGiveUp(AttemptResult::Failed, reason);
+}
+
+void ProxiedRequest::deliverBufferedAnswer()
+{
+    const TimePoint now = m_gateway.now();
+    const unsigned status = m_bufferedAnswer.head.status;
+    if (status >= 500) {
         m_fallbackAnswer = std::exchange(m_bufferedAnswer, {});
-        retryOrGiveUp(AttemptResult::Failed, "the backend server answered with a failure");
+        onServerFailed(now, "the backend server answered with a failure");
         return;
     }
-    const unsigned status = m_bufferedAnswer.head.status;
+    m_isAwaitingAnswer = false;
+    m_leaseOutcome = LeaseOutcome::Answered;
+    dispatcher().onAnswer(*m_replica, now - m_sentAt, now);
+    completeAttempt(now);
     if (status / 100 == 2) {
         reportSoundAnswer();
         dispatcher().crashGuard().onSuccess(m_facts.fingerprint);
@@ -822,8 +838,20 @@
         respondWithError(502, reason);
 }
 
+RunState ProxiedRequest::runState() const
+{
+    if (m_possibleRuns > 0)
+        return RunState::MayHaveRun;
+    const bool isInFlight = m_connection && m_connection->hasSent() && m_relay == Relay::None;
+    return isInFlight ? RunState::InFlight : RunState::RefusedUnstarted;
+}
+
 void ProxiedRequest::refuse(unsigned status, std::string_view reason, Duration retryAfter)
 {
+    if (!mayBeTold(status, runState())) {
+        respondWithError(502, reason);
+        return;
+    }
     m_caller->respond(status,
                       {{"Retry-After", formatSeconds(retryAfter)}, {"Content-Type", "text/plain"}},
                       std::string(reason) + "\n");
--- a/src/gateway/proxiedrequest.h
+++ b/src/gateway/proxiedrequest.h
@@ -14,6 +14,7 @@
 #include "gateway/eventsplitter.h"
 #include "gateway/gateway.h"
 #include "gateway/leasesource.h"
+#include "outcome/runstate.h"
 
 namespace comfrey {
 
@@ -49,10 +50,11 @@
 private:
     /// What happens to the body of the current attempt's answer.
     enum class Relay : std::uint8_t {
-        None,    ///< No answer has begun.
-        Buffer,  ///< Buffered until it is complete, then relayed.
-        Stream,  ///< Relayed as it arrives.
-        Discard, ///< The server did not run the request: its answer is read and discarded.
+        None,     ///< No answer has begun.
+        Buffer,   ///< Buffered until it is complete, then relayed.
+        Stream,   ///< Relayed as it arrives.
+        Discard,  ///< The server did not run the request: its answer is read and discarded.
+        Withhold, ///< The status would promise falsely that the request did not run: as Discard.
     };
 
     /// An answer that is buffered as a whole.
@@ -84,6 +86,8 @@
     void releaseLease(TimePoint now);
     /// Ends an attempt that the server did not run, and retries.
     void onNotRun(TimePoint now);
+    /// Ends an attempt that the server answered with a failure; the caller has not got the answer.
+    void onServerFailed(TimePoint now, std::string_view reason);
     /// Counts bytes of an answer that is discarded. Ends its attempt if they are too many.
     void discard(std::string_view bytes);
     /// Ends an attempt whose answer was read whole; its connection may be reused.
@@ -130,7 +134,10 @@
     void reportSoundAnswer();
     /// Ends an attempt whose answer was not read whole; its connection is closed.
     void abortAttempt();
-    /// Answers with an error and a Retry-After field, and ends the request.
+    /// Whether a server may have run the request, over all attempts.
+    RunState runState() const;
+    /// Answers with an error and a Retry-After field, and ends the request. If the request may have
+    /// run, it answers 502 instead of a status that promises the opposite.
     void refuse(unsigned status, std::string_view reason, Duration retryAfter);
     /// Answers with an error that has no Retry-After field, and ends the request.
     void respondWithError(unsigned status, std::string_view reason);
--- a/src/outcome/runstate.cpp
+++ b/src/outcome/runstate.cpp
@@ -29,6 +29,16 @@
     return std::max(left, right);
 }
 
+bool promisesNotRun(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+bool mayBeTold(unsigned status, RunState state)
+{
+    return !promisesNotRun(status) || outcomeOf(state, false) == Outcome::NotRun;
+}
+
 Outcome outcomeOf(RunState state, bool delivered)
 {
     if (delivered)
--- a/src/outcome/runstate.h
+++ b/src/outcome/runstate.h
@@ -24,6 +24,14 @@
 /// The state of a request with several attempts: the most that any of them may have done.
 RunState combined(RunState left, RunState right);
 
+/// True for an HTTP status by which callers know that their request did not run and never will:
+/// 408, 421, 429 and 503.
+bool promisesNotRun(unsigned status);
+
+/// False for a status that would promise falsely that the request did not run, whether the status
+/// is this process's own or a backend server's.
+bool mayBeTold(unsigned status, RunState state);
+
 /// What the caller may be told. `delivered` is true if it has, or now gets, one whole answer.
 Outcome outcomeOf(RunState state, bool delivered);
 
--- a/tests/runstatetest.cpp
+++ b/tests/runstatetest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(requestWithOneUnknownAttemptIsUnknown);
     CPPUNIT_TEST(requestInFlightIsUnknown);
     CPPUNIT_TEST(requestDeliveredIsAnswered);
+    CPPUNIT_TEST(statusThatPromisesNotRunIsToldOnlyIfItDidNotRun);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -55,6 +56,17 @@
     {
         CPPUNIT_ASSERT(outcomeOf(RunState::Ran, true) == Outcome::Answered);
     }
+
+    void statusThatPromisesNotRunIsToldOnlyIfItDidNotRun()
+    {
+        for (unsigned status = 200; status < 600; ++status) {
+            const bool promises = status == 408 || status == 421 || status == 429 || status == 503;
+            for (const RunState notRun : {RunState::NotSent, RunState::RefusedUnstarted})
+                CPPUNIT_ASSERT(mayBeTold(status, notRun));
+            for (const RunState unknown : {RunState::InFlight, RunState::MayHaveRun, RunState::Ran})
+                CPPUNIT_ASSERT_EQUAL(!promises, mayBeTold(status, unknown));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RunStateTest);
