Answers that have not ended have a part of the memory, and their server pays for it

What a router held of an answer before its caller could be given it was counted as the caller's (bodies, events) or not at all (heads, bytes that the parser could not use yet, answers of the store and of other routers). A head of tiny fields takes many times its bytes: with 150 unfinished ones the process allocated over 4 MiB more than the 4 MiB that it might hold.

Change: AnswerAccount (src/memory/answeraccount.h) counts by server what its connections hold, within the account of callers, up to a quarter of it. Over that, the largest answer of the server that holds the most is given up: its caller gets a 502, or a retry where the route allows it. Answers of the store and of other routers are counted and never given up.

--- a/src/daemon/backendsender.cpp
+++ b/src/daemon/backendsender.cpp
@@ -107,8 +107,7 @@
 void BackendSender::onBroken(BreakKind kind)
 {
     m_connection = nullptr;
-    const bool wasConnected = kind == BreakKind::Closed || kind == BreakKind::Malformed;
-    end(wasConnected ? Cause::Broken : Cause::NotConnected);
+    end(wasSent(kind) ? Cause::Broken : Cause::NotConnected);
 }
 
 void BackendSender::end(Cause cause)
--- a/src/gateway/proxiedrequest.cpp
+++ b/src/gateway/proxiedrequest.cpp
@@ -425,6 +425,7 @@
     }
     m_relay = Relay::Buffer;
     m_bufferedAnswer = {std::move(head), {}};
+    m_connection->setHeldByListener(m_bufferedAnswer.heldBytes());
 }
 
 void ProxiedRequest::applyServerNotices(const AnswerFacts &facts, TimePoint now)
@@ -489,7 +490,7 @@
         return;
     case Relay::Buffer:
         m_bufferedAnswer.body.append(bytes);
-        m_caller->holdAnswer(m_bufferedAnswer.body.size() + m_fallbackAnswer.body.size());
+        m_connection->setHeldByListener(m_bufferedAnswer.heldBytes());
         if (m_bufferedAnswer.body.size() > mostHeld(kMaxBufferedBytes))
             startStreaming();
         return;
@@ -519,8 +520,8 @@
         m_gateway.dependencies().metrics.observe(
             "comfrey_first_byte_seconds", "route=\"" + m_admission.route->name + "\"", elapsed());
     }
-    if (m_isResumable)
-        m_caller->holdAnswer(m_eventSplitter.incompleteEvent().size());
+    if (m_isResumable && m_connection)
+        m_connection->setHeldByListener(m_eventSplitter.incompleteEvent().size());
     if (m_caller->backlog() > mostHeld(kMaxCallerBacklog) && m_connection)
         m_connection->setPaused(true);
 }
@@ -557,7 +558,7 @@
     if (std::exchange(m_isAwaitingAnswer, false))
         dispatcher().onAnswer(*m_replica, m_gateway.now() - m_sentAt, m_gateway.now());
     m_caller->startResponse(m_bufferedAnswer.head);
-    m_caller->holdAnswer(m_fallbackAnswer.body.size());
+    m_connection->setHeldByListener(0);
     relayBody(std::exchange(m_bufferedAnswer.body, {}));
 }
 
@@ -637,6 +638,7 @@
     const unsigned status = m_bufferedAnswer.head.status;
     if (status >= 500) {
         m_fallbackAnswer = std::exchange(m_bufferedAnswer, {});
+        m_caller->holdAnswer(m_fallbackAnswer.heldBytes());
         onServerFailed(now, "the backend server answered with a failure");
         return;
     }
@@ -718,10 +720,14 @@
     }
     abortAttempt();
     m_bufferedAnswer = {};
-    if (kind == BreakKind::Malformed)
+    if (kind == BreakKind::Malformed) {
         retryOrGiveUp(AttemptResult::Unknown, "the answer is malformed");
-    else
+    } else if (kind == BreakKind::Dropped) {
+        m_gateway.dependencies().metrics.count("comfrey_answers_given_up_total");
+        retryOrGiveUp(AttemptResult::Unknown, "no memory is left for more of the answer");
+    } else {
         onAttemptBroken(replica, "the connection broke");
+    }
 }
 
 void ProxiedRequest::onAttemptBroken(const std::shared_ptr<Replica> &replica,
--- a/src/gateway/proxiedrequest.h
+++ b/src/gateway/proxiedrequest.h
@@ -62,6 +62,8 @@
     {
         HttpHead head;
         std::string body;
+
+        std::size_t heldBytes() const { return comfrey::heldBytes(head) + body.size(); }
     };
 
     /// Answers a request that was not admitted. True if it did.
--- a/src/memory/calleraccount.cpp
+++ b/src/memory/calleraccount.cpp
@@ -118,14 +118,14 @@
 bool CallerAccount::isOver(const CallerShare &share) const
 {
     if (!share.isLarge())
-        return m_total > m_limits.bytes;
+        return used() > m_limits.bytes;
     // The only large body is let through whatever the limit is: in calm it is served.
-    return m_largeBodies > 1 && m_total > largeLimit();
+    return m_largeBodies > 1 && used() > largeLimit();
 }
 
 bool CallerAccount::wouldSuffice(const CallerShare *newcomer) const
 {
-    const std::size_t kept = m_total - m_arriving + (newcomer ? newcomer->arrivingBytes() : 0);
+    const std::size_t kept = used() - m_arriving + (newcomer ? newcomer->arrivingBytes() : 0);
     return kept <= (newcomer && newcomer->isLarge() ? largeLimit() : m_limits.bytes);
 }
 
--- a/src/memory/calleraccount.h
+++ b/src/memory/calleraccount.h
@@ -10,6 +10,7 @@
 #include <memory>
 
 #include "comfrey/units.h"
+#include "memory/answeraccount.h"
 
 namespace comfrey {
 
@@ -98,14 +99,18 @@
     static constexpr Duration kUnreadLimit = milliseconds(2000);
     /// Beyond the limit of sockets, for callers that are told to come back.
     static constexpr std::size_t kSpareSockets = 32;
+    /// The part of the limit that answers may take which nobody can be given yet: 1 / kAnswerPart.
+    static constexpr std::size_t kAnswerPart = 4;
 
-    explicit CallerAccount(const AccountLimits &limits) : m_limits(limits) { }
+    explicit CallerAccount(const AccountLimits &limits)
+        : m_limits(limits), m_answers(limits.bytes / kAnswerPart)
+    { }
     const AccountLimits &limits() const { return m_limits; }
 
     /// True if memory is too short for `share` to hold what it holds now.
     bool isOver(const CallerShare &share) const;
     /// True if what callers may leave unread or send ahead is cut to a small amount.
-    bool isTight() const { return m_total > largeLimit(); }
+    bool isTight() const { return used() > largeLimit() || m_answers.isTight(); }
     /// True if no further socket may be opened.
     bool lacksSocket() const { return sockets() >= m_limits.sockets; }
     /// True if not even a caller that is to be refused may be accepted.
@@ -114,6 +119,10 @@
     /// counted yet.
     CallerShare *victim(Shortage shortage, const CallerShare *newcomer, TimePoint now) const;
 
+    /// What servers' connections hold.
+    AnswerAccount &answers() { return m_answers; }
+    const AnswerAccount &answers() const { return m_answers; }
+    /// What callers' connections hold.
     std::size_t held() const { return m_total; }
     std::size_t held(HeldKind kind) const { return m_held[static_cast<std::size_t>(kind)]; }
     std::size_t callers() const { return m_callers; }
@@ -128,6 +137,7 @@
     /// True if `newcomer` finds room once no other request arrives. Else the others would give way
     /// for nothing.
     bool wouldSuffice(const CallerShare *newcomer) const;
+    std::size_t used() const { return m_total + m_answers.held(); }
     /// Bytes that may be held while large bodies are among them.
     std::size_t largeLimit() const { return m_limits.bytes / 4 * 3; }
     const std::list<CallerShare *> &at(CallerStage stage) const
@@ -136,6 +146,7 @@
     }
 
     AccountLimits m_limits;
+    AnswerAccount m_answers;                      ///< Counts within m_limits.bytes too.
     std::array<std::size_t, kHeldKinds> m_held{}; ///< Sums over all shares; they add up to m_total.
     std::size_t m_total = 0;
     std::size_t m_arriving = 0;    ///< Sum of CallerShare::arrivingBytes().
--- a/src/traffic/backendconnection.cpp
+++ b/src/traffic/backendconnection.cpp
@@ -50,7 +50,19 @@
 BackendConnection::BackendConnection(boost::asio::io_context &loop, const Endpoint &endpoint,
                                      const BackendConnectionLimits &limits)
     : m_loop(loop), m_endpoint(endpoint), m_limits(limits), m_socket(loop), m_connectTimer(loop)
-{ }
+{
+    if (!m_limits.account)
+        return;
+    const bool mayGiveWay = m_limits.use == BackendUse::Requests;
+    join(&m_limits.account->answers(),
+         mayGiveWay ? endpoint.address().to_string() + ':' + std::to_string(endpoint.port())
+                    : std::string());
+}
+
+BackendConnection::~BackendConnection()
+{
+    hold(0); // While the account is still there.
+}
 
 void BackendConnection::send(std::string head, std::shared_ptr<const std::string> body, bool isHead,
                              BackendListener *listener)
@@ -61,6 +73,8 @@
     m_listener = listener;
     m_hasSent = false;
     m_headGiven = false;
+    m_headBytes = 0;
+    m_heldByListener = 0;
     m_discarding = false;
     m_discardedBytes = 0;
     m_skipped = 0;
@@ -102,7 +116,8 @@
 void BackendConnection::connect(Duration limit)
 {
     m_connecting = true;
-    if (m_limits.account && !std::exchange(m_isCounted, true))
+    if (m_limits.account && m_limits.use == BackendUse::Requests
+        && !std::exchange(m_isCounted, true))
         m_limits.account->addServerSocket();
     auto self = shared_from_this();
     m_connectTimer.expires_after(limit);
@@ -205,14 +220,37 @@
     m_unparsed.append(m_chunk.data(), count);
     const auto self = shared_from_this();
     parse();
+    updateAccount();
     read();
 }
 
+void BackendConnection::updateAccount()
+{
+    if (!m_limits.account || !m_listener)
+        return;
+    hold(m_unparsed.size() + m_headBytes + m_parser->head().fields.capacity() * sizeof(HttpField)
+         + m_heldByListener);
+    AnswerAccount &answers = m_limits.account->answers();
+    while (answers.isOver()) {
+        AnswerShare *const victim = answers.victim();
+        if (!victim)
+            return;
+        victim->giveWay();
+    }
+}
+
+void BackendConnection::giveWay()
+{
+    fail(BreakKind::Dropped);
+}
+
 void BackendConnection::parse()
 {
     while (m_listener && !m_unparsed.empty()) {
         const std::size_t used = m_parser->feed(m_unparsed);
         m_unparsed.erase(0, used);
+        if (!m_parser->hasHead())
+            m_headBytes += used;
         if (m_parser->fault() != ParseFault::None) {
             fail(BreakKind::Malformed);
             return;
@@ -243,6 +281,7 @@
             const bool wasForeign = m_discarding;
             m_discarding = false;
             m_headGiven = false;
+            m_headBytes = 0;
             m_closing = m_closing || wasForeign;
             m_parser.emplace(m_limits.maxHeaderBytes, kMaxResponseBytes);
             if (m_isHead)
@@ -261,6 +300,7 @@
         return true;
     if (!m_listener->acceptsHead(head)) {
         m_discarding = true;
+        releaseHead();
         return true;
     }
     if (!head.keepsAlive || (head.endsWithConnection() && !m_parser->isComplete()))
@@ -268,9 +308,16 @@
     m_keepAliveLimit = keepAliveOf(head);
     m_headGiven = true;
     m_listener->onHead(head);
+    releaseHead();
     return m_listener != nullptr;
 }
 
+void BackendConnection::releaseHead()
+{
+    m_headBytes = 0;
+    m_parser->head().fields = {};
+}
+
 bool BackendConnection::takeBody()
 {
     const std::string bytes = m_parser->takeBody();
@@ -289,6 +336,7 @@
 {
     BackendListener *listener = std::exchange(m_listener, nullptr);
     const auto self = shared_from_this();
+    hold(0);
     if (m_closing || !m_unparsed.empty())
         close();
     m_parser.reset();
@@ -311,6 +359,8 @@
 {
     m_connecting = false;
     m_isOpen = false;
+    m_unparsed = std::string();
+    hold(0);
     if (std::exchange(m_isCounted, false))
         m_limits.account->removeServerSocket();
     m_closing = true;
--- a/src/traffic/backendconnection.h
+++ b/src/traffic/backendconnection.h
@@ -27,8 +27,15 @@
     ConnectFailed,  ///< Not established for another reason, such as no descriptor left here.
     Closed,         ///< Ended after the request was handed to the network.
     Malformed,      ///< The bytes are no HTTP response.
+    Dropped,        ///< Given up here, since too much was held of responses that had not ended.
 };
 
+/// True if the request may have reached the server.
+inline bool wasSent(BreakKind kind)
+{
+    return kind == BreakKind::Closed || kind == BreakKind::Malformed || kind == BreakKind::Dropped;
+}
+
 /// Hears of the steps of one request. Every method may drop the connection.
 class BackendListener
 {
@@ -42,21 +49,32 @@
     virtual void onBroken(BreakKind kind) = 0;
 };
 
+/// What connections are for.
+enum class BackendUse : std::uint8_t {
+    Requests, ///< Of callers.
+    /// Calls that this process needs to work: their sockets have a reserve of their own, and their
+    /// responses are counted but never given up.
+    Control,
+};
+
 struct BackendConnectionLimits
 {
     Duration connectTimeout;
     Duration silentLimit; ///< TCP gives up on a peer that acknowledges nothing for so long.
     std::uint32_t maxHeaderBytes = 0;
-    std::shared_ptr<CallerAccount> account = nullptr; ///< Counts the sockets, if not null.
+    std::shared_ptr<CallerAccount> account = nullptr; ///< Null: nothing is counted.
+    BackendUse use = BackendUse::Requests;
 };
 
-class BackendConnection : public std::enable_shared_from_this<BackendConnection>
+class BackendConnection : public std::enable_shared_from_this<BackendConnection>,
+                          private AnswerShare
 {
 public:
     using Endpoint = boost::asio::ip::tcp::endpoint;
 
     BackendConnection(boost::asio::io_context &loop, const Endpoint &endpoint,
                       const BackendConnectionLimits &limits);
+    ~BackendConnection() override;
 
     /// Sends a request, connecting first if need be. `listener` must live until its onEnd(), its
     /// onBroken() or drop().
@@ -70,6 +88,9 @@
     /// While paused nothing more is read, so the sender is slowed down.
     void setPaused(bool paused);
 
+    /// Tells how much of the present response the listener holds until it can be passed on.
+    void setHeldByListener(std::size_t bytes) { m_heldByListener = bytes; }
+
     /// True once a byte of the present request may have left this process.
     bool hasSent() const { return m_hasSent; }
     /// True if the next request may go out on it.
@@ -92,10 +113,15 @@
     void read();
     void onRead(const boost::system::error_code &error, std::size_t count);
     void parse();
+    void giveWay() override;
+    /// Tells the account what is held now, and has responses given up if that is too much.
+    void updateAccount();
     void finishResponse();
     /// Hands over the head, or marks the response as one to another request. False if the listener
     /// dropped the connection.
     bool takeHead();
+    /// Forgets the fields of a head that was read whole.
+    void releaseHead();
     /// Hands over or discards the body bytes that were parsed. False if the request has ended.
     bool takeBody();
     void fail(BreakKind kind);
@@ -125,6 +151,8 @@
     bool m_reading = false;
     bool m_headGiven = false;         ///< The listener has the head of the present response.
     bool m_discarding = false;        ///< The present response belongs to another request.
+    std::size_t m_headBytes = 0;      ///< Read of a head that is not whole.
+    std::size_t m_heldByListener = 0; ///< Of the present response.
     std::size_t m_discardedBytes = 0; ///< Body bytes of such responses.
     std::uint64_t m_requestCount = 0; ///< Requests that went out, the present one included.
     std::uint32_t m_skipped = 0; ///< Interim and foreign responses before that of this request.
--- a/src/traffic/callershortage.cpp
+++ b/src/traffic/callershortage.cpp
@@ -42,6 +42,11 @@
 {
     CallerAccount *const all = account();
     while (all && all->isOver(*this)) {
+        AnswerShare *const answer = all->answers().isTight() ? all->answers().victim() : nullptr;
+        if (answer) {
+            answer->giveWay();
+            continue;
+        }
         CallerShare *const other = all->victim(Shortage::Memory, this, m_now);
         if (!other) {
             refuseForShortage(Shortage::Memory);
--- a/src/traffic/httpcall.cpp
+++ b/src/traffic/httpcall.cpp
@@ -6,8 +6,6 @@
 namespace {
 
 constexpr Duration kIdleLimit = milliseconds(10000); // shorter than servers keep idle connections
-constexpr std::size_t kMaxAnswerBytes = std::size_t{8}
-    << 20; ///< Twice the largest message of the platform.
 
 } // namespace
 
@@ -42,11 +40,12 @@
     void onHead(HttpHead &head) override { m_answer.status = head.status; }
     void onBody(std::string_view bytes) override
     {
-        if (m_answer.body.size() + bytes.size() > kMaxAnswerBytes) {
+        if (m_answer.body.size() + bytes.size() > m_call.maxAnswerBytes) {
             giveUp("the answer is too long", true);
             return;
         }
         m_answer.body.append(bytes);
+        m_connection->setHeldByListener(m_answer.body.size());
         if (m_call.progressTimeout > Duration(0))
             armTimer(m_call.progressTimeout);
     }
@@ -59,8 +58,7 @@
     void onBroken(BreakKind kind) override
     {
         m_connection = nullptr;
-        const bool wasSent = kind == BreakKind::Closed || kind == BreakKind::Malformed;
-        giveUp(wasSent ? "connection broke" : "no connection", wasSent);
+        giveUp(wasSent(kind) ? "connection broke" : "no connection", wasSent(kind));
     }
 
 private:
--- a/src/traffic/httpcall.h
+++ b/src/traffic/httpcall.h
@@ -40,6 +40,8 @@
         std::string contentType;
         Duration timeout; ///< Until the answer is whole, or begins if progressTimeout is set.
         Duration progressTimeout{0}; ///< Not 0: longest pause between two pieces of the answer.
+        /// A longer body fails the call. Twice the largest message of the platform's store.
+        std::size_t maxAnswerBytes = std::size_t{8} << 20;
     };
 
     void start(Call call, Handler handler);
--- a/src/traffic/httphead.cpp
+++ b/src/traffic/httphead.cpp
@@ -77,6 +77,14 @@
     std::erase_if(fields, [&](const HttpField &field) { return sameFieldName(field.name, name); });
 }
 
+std::size_t heldBytes(const HttpHead &head)
+{
+    std::size_t bytes = head.fields.capacity() * sizeof(HttpField);
+    for (const HttpField &field : head.fields)
+        bytes += field.name.size() + field.value.size();
+    return bytes;
+}
+
 bool isHopByHop(std::string_view name)
 {
     return std::any_of(kHopByHop.begin(), kHopByHop.end(),
--- a/src/traffic/httphead.h
+++ b/src/traffic/httphead.h
@@ -43,6 +43,9 @@
     bool endsWithConnection() const { return !contentLength && !isChunked; }
 };
 
+/// Memory that the fields of a head take, which is many times the bytes of tiny fields.
+std::size_t heldBytes(const HttpHead &head);
+
 /// True for fields that concern one connection only and are never passed on.
 bool isHopByHop(std::string_view name);
 
