comfreyd bounds answers of engines and services that are kept until they are whole

The tokens of a chat that is answered in one piece were collected without bound: an engine that went on could use up the memory of the process. Answers of services (at most 16 MiB each) and unfinished events (1 MiB) were not counted.

Change: a kept chat of over 16 MiB is a broken answer. What engines and services make comfreyd hold is counted by the server, as on the platform's path. Reports of load and answers to orders are at most 1 MiB and 64 KiB instead of 8 MiB, with the same account.

--- a/src/daemon/backendclient.cpp
+++ b/src/daemon/backendclient.cpp
@@ -20,10 +20,13 @@
 constexpr Duration kSilentLimit = milliseconds(5000);   // of a peer that acknowledges nothing
 constexpr Duration kIdleLimit = milliseconds(5000);     // engines close idle connections later
 constexpr std::uint32_t kMaxHeaderBytes = 16384;
+constexpr std::size_t kMaxReportBytes = std::size_t{1} << 20; // tens of thousands of cache events
+constexpr std::size_t kMaxOrderAnswerBytes = std::size_t{64} * 1024;
 
-BackendConnectionLimits limitsWith(std::shared_ptr<CallerAccount> account)
+BackendConnectionLimits limitsWith(std::shared_ptr<CallerAccount> account,
+                                   BackendUse use = BackendUse::Requests)
 {
-    return {kConnectTimeout, kSilentLimit, kMaxHeaderBytes, std::move(account)};
+    return {kConnectTimeout, kSilentLimit, kMaxHeaderBytes, std::move(account), use};
 }
 
 constexpr std::uint64_t kLargest = std::numeric_limits<std::uint64_t>::max();
@@ -131,7 +134,8 @@
       m_pool(loop.context(), limitsWith(account), kIdleLimit), m_parts{loop.context(), m_pool,
                                                                        limitsWith(account), sink,
                                                                        clock},
-      m_caller(loop.context(), limitsWith(nullptr), [&clock] { return clock.now(); })
+      m_caller(loop.context(), limitsWith(account, BackendUse::Control),
+               [&clock] { return clock.now(); })
 {
     loop.addSweep([this, &clock] {
         m_pool.sweep(clock.now());
@@ -196,6 +200,7 @@
     call.to = *endpoint;
     call.target = "/load";
     call.timeout = kProbeTimeout;
+    call.maxAnswerBytes = kMaxReportBytes;
     m_caller.start(std::move(call), [this, backend = order.backend](const CallAnswer &answer) {
         if (auto report =
                 answer.status == 200 ? readLoadReport(backend, answer.body) : std::nullopt)
@@ -229,6 +234,7 @@
     call.contentType = "application/json";
     call.body = body.dump();
     call.timeout = kProbeTimeout;
+    call.maxAnswerBytes = kMaxOrderAnswerBytes;
     m_caller.start(std::move(call), [this, order](const CallAnswer &answer) {
         m_sink.post(OrderAnswered{order.order, order.backend, orderResultOf(answer)});
     });
--- a/src/daemon/backendsender.cpp
+++ b/src/daemon/backendsender.cpp
@@ -85,7 +85,10 @@
         stop(Cause::Stopped);
         return;
     }
-    if (!m_connection || !m_exchange->isBacklogged())
+    if (!m_connection)
+        return;
+    m_connection->setHeldByListener(heldBytes());
+    if (!m_exchange->isBacklogged())
         return;
     m_connection->setPaused(true);
     m_exchange->whenRoom([self] {
--- a/src/daemon/backendsender.h
+++ b/src/daemon/backendsender.h
@@ -64,6 +64,8 @@
     /// False: the rest of the response is not wanted.
     virtual bool takeHead(const HttpHead &head) = 0;
     virtual bool takeBytes(std::string_view bytes) = 0;
+    /// Bytes of the response that are held since the caller cannot be given them yet.
+    virtual std::size_t heldBytes() const = 0;
     /// Fills in what the sender knows of the end.
     virtual void describeEnd(Cause cause, AttemptEnded &ended) = 0;
 
--- a/src/daemon/callersession.h
+++ b/src/daemon/callersession.h
@@ -74,6 +74,7 @@
     using CallerSession::CallerSession;
 
     void onToken(const std::string &text) override { m_text += text; }
+    std::size_t heldBytes() const override { return m_text.size(); }
     void onEnd(const AnswerCaller &answer) override;
 
 private:
--- a/src/daemon/chatsender.cpp
+++ b/src/daemon/chatsender.cpp
@@ -63,6 +63,11 @@
     return m_reader.feed(bytes, [this](std::string_view event) { return takeEvent(event); });
 }
 
+std::size_t ChatSender::heldBytes() const
+{
+    return m_reader.unfinishedBytes() + exchange().heldBytes();
+}
+
 bool ChatSender::takeEvent(std::string_view data)
 {
     if (data == kLastEvent) {
--- a/src/daemon/exchange.cpp
+++ b/src/daemon/exchange.cpp
@@ -5,6 +5,12 @@
 
 namespace comfrey {
 
+namespace {
+
+constexpr std::size_t kMaxHeldBytes = std::size_t{16} << 20; // As of a service's whole answer.
+
+} // namespace
+
 Exchange::Exchange(RequestId request, CallerRequest detail, ForwardedRequest forwarded)
     : m_request(std::move(request)), m_detail(std::move(detail)), m_forwarded(std::move(forwarded)),
       m_relay(m_request)
@@ -15,6 +21,8 @@
 {
     if (m_ended)
         return RelayVerdict::Superseded;
+    if (heldBytes() + text.size() > kMaxHeldBytes)
+        return RelayVerdict::Gap;
     const RelayVerdict verdict = m_relay.judge(attempt, answerId, position);
     if (verdict == RelayVerdict::Deliver && m_listener)
         m_listener->onToken(text);
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -41,6 +41,8 @@
 public:
     virtual ~ExchangeListener() = default;
     virtual void onToken(const std::string &text) = 0;
+    /// Bytes of tokens that are kept until the end.
+    virtual std::size_t heldBytes() const { return 0; }
     /// Called once, after the last token.
     virtual void onEnd(const AnswerCaller &answer) = 0;
 };
@@ -57,7 +59,8 @@
     /// Null ends the listening; what comes then is dropped.
     void listen(ExchangeListener *listener) { m_listener = listener; }
 
-    /// For each token that an attempt read.
+    /// For each token that an attempt read. An answer that is kept whole ends in a gap once it is
+    /// longer than any sound one.
     RelayVerdict deliver(AttemptId attempt, const RequestId &answerId, Tokens position,
                          const std::string &text);
     /// After an attempt's last token. Returns whether the caller has all tokens of this answer.
@@ -65,6 +68,8 @@
     /// The attempt reads no more.
     void release(AttemptId attempt) { m_relay.release(attempt); }
     Tokens delivered() const { return m_relay.delivered(); }
+    /// Bytes of the answer that are kept until it is whole.
+    std::size_t heldBytes() const { return m_listener ? m_listener->heldBytes() : 0; }
 
     /// The router's decision; the first one wins.
     void end(const AnswerCaller &answer);
--- a/src/daemon/servicesender.cpp
+++ b/src/daemon/servicesender.cpp
@@ -36,6 +36,11 @@
     return true;
 }
 
+std::size_t ServiceSender::heldBytes() const
+{
+    return m_answer.body.size();
+}
+
 void ServiceSender::describeEnd(Cause cause, AttemptEnded &ended)
 {
     ended.how = endOf(cause);
--- a/src/daemon/servicesender.h
+++ b/src/daemon/servicesender.h
@@ -14,6 +14,7 @@
     std::vector<HttpField> fields() const override;
     bool takeHead(const HttpHead &head) override;
     bool takeBytes(std::string_view bytes) override;
+    std::size_t heldBytes() const override;
     void describeEnd(Cause cause, AttemptEnded &ended) override;
 
 private:
--- a/src/relay/ssereader.h
+++ b/src/relay/ssereader.h
@@ -19,6 +19,8 @@
 
     /// Takes the next bytes. Returns false if a handler stopped or a line is over its limit.
     bool feed(std::string_view bytes, const Handler &handler);
+    /// Bytes kept of an unfinished line.
+    std::size_t unfinishedBytes() const { return m_rest.size(); }
 
 private:
     std::size_t m_maxLineBytes;
--- a/tests/threaded/chatsendertest.cpp
+++ b/tests/threaded/chatsendertest.cpp
@@ -50,8 +50,10 @@
 public:
     void onToken(const std::string &token) override { text += token; }
     void onEnd(const AnswerCaller &) override { }
+    std::size_t heldBytes() const override { return isWhole ? text.size() : 0; }
 
     std::string text;
+    bool isWhole = false; ///< Keeps the text until the answer has ended.
 };
 
 /// How the engine of a test answers.
@@ -61,6 +63,7 @@
     Tokens cutBefore = 1000; ///< Position before which the connection is dropped.
     std::string answerId;    ///< Of another request, if set.
     std::string oddEvent;    ///< Sent as the only event, if set.
+    std::string longToken;   ///< Each token's text, if set.
     bool refuses = false;
     bool isSilent = false; ///< Answers only after `silence`.
     std::chrono::milliseconds silence{1500};
@@ -112,7 +115,8 @@
             return false;
         const bool isLast = next + 1 >= m_script.answerTokens;
         nlohmann::json choice = {{"index", 0}, {"finish_reason", nullptr}};
-        choice["delta"]["content"] = std::to_string(next);
+        choice["delta"]["content"] =
+            m_script.longToken.empty() ? std::to_string(next) : m_script.longToken;
         nlohmann::json event = {{"id", id}, {"position", next}};
         ++next;
         if (isLast) {
@@ -145,6 +149,7 @@
     CPPUNIT_TEST(eventWithMembersOfOtherTypesBreaksTheAnswer);
     CPPUNIT_TEST(refusalIsUnstarted);
     CPPUNIT_TEST(earlierRefusalRepeatedOnAKeptConnectionIsNotBelieved);
+    CPPUNIT_TEST(wholeAnswerLongerThanAnySoundOneIsBroken);
     CPPUNIT_TEST(absentEngineIsNotConnected);
     CPPUNIT_TEST(cancelledAttemptEndsAtOnce);
     CPPUNIT_TEST(silentEngineTimesOut);
@@ -243,6 +248,18 @@
         CPPUNIT_ASSERT(second.how == AttemptEnd::BrokenBeforeAnswer);
     }
 
+    /// The tokens of a chat that is answered in one piece were collected without bound.
+    void wholeAnswerLongerThanAnySoundOneIsBroken()
+    {
+        EngineScript script;
+        script.answerTokens = 500;
+        script.longToken = std::string(100000, 'x');
+        const ScriptedEngine engine(script);
+        onLoop([this] { return m_listener.isWhole = true; });
+        CPPUNIT_ASSERT(send(engine.address(), 0).how == AttemptEnd::BrokenInAnswer);
+        CPPUNIT_ASSERT(deliveredText().size() <= std::size_t{16} << 20);
+    }
+
     void absentEngineIsNotConnected()
     {
         CPPUNIT_ASSERT(send(Endpoint("127.0.0.1:1"), 0).how == AttemptEnd::NotConnected);
