Requests that come late in a planned stop are refused at once, and none ends without an answer

Callers whose request was whole late in the grace of a planned stop lost it: it was passed on and cut as the process ended, requests that may run once among them. After 2.6 s a router closes idle connections, but not those that have begun a request. Trial on the unchanged code (one router, one server that works for 2 s, route limit 4 s, grace 8 s; the rest of the body comes 5.5, 6, 6.5 and 7 s after SIGTERM): four of four were run and got no answer.

Change: PlannedStop (src/dispatch/plannedstop.h) takes later requests only if their time limit ends before the process does; others get 503 with Retry-After and have not run. What is still in flight at the end is answered (502 if it may have run) instead of closed.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -101,6 +101,13 @@
         onChecked();
 }
 
+void Gateway::endRequests()
+{
+    const auto requests = m_activeRequests;
+    for (const auto &request : requests)
+        request->onProcessEnds();
+}
+
 void Gateway::removeRequest(const std::shared_ptr<ProxiedRequest> &request)
 {
     m_activeRequests.erase(request);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "dispatch/dispatcher.h"
+#include "dispatch/plannedstop.h"
 #include "gateway/headercodec.h"
 #include "telemetry/eventlog.h"
 #include "telemetry/linerate.h"
@@ -52,7 +53,7 @@
     void onRequest(const std::shared_ptr<CallerConnection> &caller, HttpHead head,
                    std::string body) override;
     const CallerLimits &limits() const override;
-    bool isStopping() const override { return m_stopping; }
+    bool isStopping() const override { return m_stop.hasBegun(); }
     /// Logs and counts a request that could not be read, and returns the response's content.
     ResponseContent onBadRequest(unsigned status, std::string_view reason) override;
 
@@ -62,7 +63,11 @@
     void onCallerClosed(Shortage shortage) override;
 
     /// From now on each response closes its caller's connection; requests in flight are finished.
-    void stop() { m_stopping = true; }
+    /// Times as in PlannedStop.
+    void stop(TimePoint announcedAt, TimePoint end) { m_stop.begin(announcedAt, end); }
+    const PlannedStop &plannedStop() const { return m_stop; }
+    /// Answers what is still in flight, since the process ends.
+    void endRequests();
     /// Number of requests that have not ended.
     std::size_t inFlight() const { return m_activeRequests.size(); }
 
@@ -98,7 +103,7 @@
         m_activeRequests; ///< Requests that have not ended.
     /// Callbacks that wait for a check, by the incarnation of the checked server.
     std::map<std::string, std::vector<std::function<void()>>> m_pendingChecks;
-    bool m_stopping = false;
+    PlannedStop m_stop;
     LineRate m_refusalLines; ///< Of callers that were refused or closed before a request was whole.
 };
 
--- a/src/gateway/proxiedrequest.cpp
+++ b/src/gateway/proxiedrequest.cpp
@@ -25,6 +25,7 @@
     milliseconds(500); // a server starts or the server list is updated
 constexpr Duration kRetryAfterStartup =
     milliseconds(150); // a starting router reads its configuration in about 70 ms
+constexpr Duration kRetryAfterStop = milliseconds(10); // other routers take the request
 constexpr Duration kRetryAfterNoConfig = milliseconds(500); // the store is slow or does not answer
 /// Callers that retry after a pause of all servers are spread over this time.
 constexpr Duration kRetryAfterSpread =
@@ -95,6 +96,10 @@
         return;
     removeHopByHop(m_head);
     startDeadlineTimer();
+    if (!m_gateway.plannedStop().takes(m_arrivedAt, m_deadline)) {
+        refuse(503, "the router stops before the request's time limit", kRetryAfterStop);
+        return;
+    }
     startAttempt();
 }
 
@@ -140,6 +145,17 @@
 }
 
 void ProxiedRequest::onTimeout()
+{
+    endUnanswered(504, "time limit reached", kRetryAfterServerBusy);
+}
+
+void ProxiedRequest::onProcessEnds()
+{
+    endUnanswered(502, "the router stops", kRetryAfterStop);
+}
+
+void ProxiedRequest::endUnanswered(unsigned statusIfRun, std::string_view reason,
+                                   Duration retryAfter)
 {
     const auto self = shared_from_this();
     m_leaseOutcome = LeaseOutcome::Failed;
@@ -147,12 +163,11 @@
     abortAttempt();
     if (m_caller->hasStarted()) {
         m_caller->abort();
-        finish("cut", 0, "time limit reached during the answer");
+        finish("cut", 0, reason);
     } else if (mayHaveRun) {
-        respondWithError(504, "time limit reached");
+        respondWithError(statusIfRun, reason);
     } else {
-        refuse(503, "time limit reached before a backend server could be asked",
-               kRetryAfterServerBusy);
+        refuse(503, reason, retryAfter);
     }
 }
 
--- a/src/gateway/proxiedrequest.h
+++ b/src/gateway/proxiedrequest.h
@@ -31,6 +31,9 @@
     /// Admits the request and starts the first attempt, or answers the caller with an error.
     void start();
 
+    /// The process ends: answers that the request failed, or cuts an answer that has begun.
+    void onProcessEnds();
+
     /// The caller disconnected: aborts the current attempt.
     void onCallerGone() override;
     /// The caller has read all that was written: resumes reading from the backend server.
@@ -72,6 +75,9 @@
     void startDeadlineTimer();
     /// The deadline has passed: aborts the attempt and ends the request.
     void onTimeout();
+    /// Aborts the attempt and ends the request: cuts an answer that has begun; else answers with
+    /// `statusIfRun` or, if the request did not run, refuses it.
+    void endUnanswered(unsigned statusIfRun, std::string_view reason, Duration retryAfter);
     /// Chooses a server and sends the request to it. A service with a shared queue needs a lease
     /// first.
     void startAttempt();
--- a/tests/traffic/gatewaytest.cpp
+++ b/tests/traffic/gatewaytest.cpp
@@ -466,7 +466,7 @@
         caller.send(get("r1", "/stream/x"));
         CPPUNIT_ASSERT(runUntil(
             m_loop, [&] { return caller.received().find("token1") != std::string::npos; }));
-        m_gateway.stop();
+        m_gateway.stop(now() + milliseconds(2600), now() + milliseconds(7300));
         server.connection(0).write(chunk(event(2)) + "0\r\n\r\n");
         CPPUNIT_ASSERT(runUntil(m_loop, [&] { return caller.isClosed(); }));
         CPPUNIT_ASSERT_EQUAL(event(1) + event(2), caller.takeResponse()->body);
