comfreyd: an engine's bare status is no word that it has not started a chat

Callers were told "not run" when an engine answered 400, 404, 413, 422 or 429 without X-Not-Started. Only that field says so (docs/STANDINS.md); an engine may fail a chat with such a status after it has begun.

Change: such an end is FailedByBackend, which may have run. It is still no sign of an engine that broke.

--- a/include/comfrey/events.h
+++ b/include/comfrey/events.h
@@ -66,6 +66,7 @@
     Completed,          ///< The whole answer arrived and carries the request's id.
     NotConnected,       ///< No byte of the request left this process.
     RefusedUnstarted,   ///< The back end answered that it did not start the request.
+    FailedByBackend,    ///< The back end answered with a failure; it may have started the request.
     BrokenBeforeAnswer, ///< Connection lost after the first byte went out, before any answer.
     BrokenInAnswer,     ///< Connection lost with part of the answer read.
     TimedOut,           ///< Sent, and no whole answer within the time limit.
--- a/src/daemon/chatsender.cpp
+++ b/src/daemon/chatsender.cpp
@@ -171,12 +171,13 @@
 
 AttemptEnd ChatSender::endOfStatus() const
 {
-    // Only statuses that judge the request itself; a 408 may follow a start.
-    constexpr int refusing[] = {400, 404, 413, 422, 429};
-    const bool isRefused =
-        std::find(std::begin(refusing), std::end(refusing), m_status) != std::end(refusing);
-    return m_notStarted || isRefused ? AttemptEnd::RefusedUnstarted
-                                     : AttemptEnd::BrokenBeforeAnswer;
+    if (m_notStarted)
+        return AttemptEnd::RefusedUnstarted;
+    // Statuses that judge the request are no sign of an engine that broke.
+    constexpr int judging[] = {400, 404, 413, 422, 429};
+    const bool isJudged =
+        std::find(std::begin(judging), std::end(judging), m_status) != std::end(judging);
+    return isJudged ? AttemptEnd::FailedByBackend : AttemptEnd::BrokenBeforeAnswer;
 }
 
 } // namespace comfrey
--- a/src/outcome/runstate.cpp
+++ b/src/outcome/runstate.cpp
@@ -14,6 +14,7 @@
         return RunState::RefusedUnstarted;
     case AttemptEnd::Completed:
         return RunState::Ran;
+    case AttemptEnd::FailedByBackend:
     case AttemptEnd::BrokenBeforeAnswer:
     case AttemptEnd::BrokenInAnswer:
     case AttemptEnd::TimedOut:
--- a/tests/runstatetest.cpp
+++ b/tests/runstatetest.cpp
@@ -32,9 +32,9 @@
 
     void attemptBrokenAfterFirstByteIsUnknown()
     {
-        for (const AttemptEnd how :
-             {AttemptEnd::BrokenBeforeAnswer, AttemptEnd::BrokenInAnswer, AttemptEnd::TimedOut,
-              AttemptEnd::ForeignAnswer, AttemptEnd::Cancelled}) {
+        for (const AttemptEnd how : {AttemptEnd::FailedByBackend, AttemptEnd::BrokenBeforeAnswer,
+                                     AttemptEnd::BrokenInAnswer, AttemptEnd::TimedOut,
+                                     AttemptEnd::ForeignAnswer, AttemptEnd::Cancelled}) {
             CPPUNIT_ASSERT(outcomeOf(runStateAfter(how), false) == Outcome::Unknown);
         }
     }
--- a/tests/threaded/chatsendertest.cpp
+++ b/tests/threaded/chatsendertest.cpp
@@ -10,6 +10,7 @@
 
 #include "common/httpserver.h"
 #include "daemon/backendclient.h"
+#include "outcome/runstate.h"
 #include "traffic/loopback.h"
 
 using namespace comfrey;
@@ -65,6 +66,7 @@
     std::string oddEvent;    ///< Sent as the only event, if set.
     std::string longToken;   ///< Each token's text, if set.
     bool refuses = false;
+    int failure = 0;       ///< Status of an answer that does not say "not started", if not 0.
     bool isSilent = false; ///< Answers only after `silence`.
     std::chrono::milliseconds silence{1500};
 };
@@ -91,6 +93,10 @@
             response.set_header("X-Not-Started", "1");
             return;
         }
+        if (m_script.failure != 0) {
+            response.status = m_script.failure;
+            return;
+        }
         if (m_script.isSilent)
             std::this_thread::sleep_for(m_script.silence);
         const std::string own = request.get_header_value("X-Request-Id");
@@ -149,6 +155,7 @@
     CPPUNIT_TEST(eventWithMembersOfOtherTypesBreaksTheAnswer);
     CPPUNIT_TEST(refusalIsUnstarted);
     CPPUNIT_TEST(earlierRefusalRepeatedOnAKeptConnectionIsNotBelieved);
+    CPPUNIT_TEST(statusAloneIsNoWordThatNothingStarted);
     CPPUNIT_TEST(wholeAnswerLongerThanAnySoundOneIsBroken);
     CPPUNIT_TEST(absentEngineIsNotConnected);
     CPPUNIT_TEST(cancelledAttemptEndsAtOnce);
@@ -248,6 +255,19 @@
         CPPUNIT_ASSERT(second.how == AttemptEnd::BrokenBeforeAnswer);
     }
 
+    /// Callers were told "not run" by a status that engines may send after a start.
+    void statusAloneIsNoWordThatNothingStarted()
+    {
+        for (const int status : {400, 404, 413, 422, 429, 503}) {
+            EngineScript script;
+            script.failure = status;
+            const ScriptedEngine engine(script);
+            const AttemptEnd how = send(engine.address(), 0).how;
+            CPPUNIT_ASSERT(outcomeOf(runStateAfter(how), false) == Outcome::Unknown);
+            CPPUNIT_ASSERT_EQUAL(status != 503, how == AttemptEnd::FailedByBackend);
+        }
+    }
+
     /// The tokens of a chat that is answered in one piece were collected without bound.
     void wholeAnswerLongerThanAnySoundOneIsBroken()
     {
@@ -255,7 +275,7 @@
         script.answerTokens = 500;
         script.longToken = std::string(100000, 'x');
         const ScriptedEngine engine(script);
-        onLoop([this] { return m_listener.isWhole = true; });
+        m_listener.isWhole = true;
         CPPUNIT_ASSERT(send(engine.address(), 0).how == AttemptEnd::BrokenInAnswer);
         CPPUNIT_ASSERT(deliveredText().size() <= std::size_t{16} << 20);
     }
