A reader does not list again for a gap that another router has settled

The list that was still due counted as certain by its age, but lagged behind a deletion that had come meanwhile.

Change: what is known from others beyond the own reading ends the lists that were still due.

--- a/src/routers/topicreader.cpp
+++ b/src/routers/topicreader.cpp
@@ -23,6 +23,8 @@
     // less may be known than was read here.
     const std::uint64_t known = m_feed.knownUntil(m_topic);
     const bool hasDoubts = m_feed.hasDoubts(m_topic);
+    if (known >= m_nextOffset && !hasDoubts)
+        m_recheckAt = kNever; // Another router has settled what lists left uncertain here.
     if (known > m_nextOffset || hasDoubts)
         m_nextOffset = known;
     m_hasList = m_hasList || m_nextOffset > 0;
--- a/tests/removalmodeltest.cpp
+++ b/tests/removalmodeltest.cpp
@@ -101,6 +101,9 @@
     {
         // A removal that only a list of several pages showed came into force after 3 s.
         checkRandom(7149);
+        // Lists were read again for a gap that another router's list had settled; one that lagged
+        // behind a later deletion removed a key that exists.
+        checkRandom(7715);
     }
 
 private:
