An empty last page of a list is no proof that its keys are as new as the first page

After a gap the second page of the list lagged behind and was empty; only pages with records bounded the list's age, so that the missing key counted as certainly removed.

Change: an empty page bounds nothing; missing keys are removed in doubt, or by a certain list.

--- a/src/routers/topicreader.cpp
+++ b/src/routers/topicreader.cpp
@@ -49,8 +49,8 @@
         pageEnd = std::max(pageEnd, record.order + 1);
     if (++m_pageCount == 1)
         m_firstPageEnd = m_lowestPageEnd = pageEnd;
-    else if (!records.empty())
-        m_lowestPageEnd = std::min(m_lowestPageEnd, pageEnd);
+    else
+        m_lowestPageEnd = std::min(m_lowestPageEnd, pageEnd); // An empty page may be of any age.
     const std::string lastKey = records.empty() ? std::string() : records.back().key;
     m_listedRecords.insert(m_listedRecords.end(), std::make_move_iterator(records.begin()),
                            std::make_move_iterator(records.end()));
--- a/tests/removalmodeltest.cpp
+++ b/tests/removalmodeltest.cpp
@@ -104,6 +104,8 @@
         // Lists were read again for a gap that another router's list had settled; one that lagged
         // behind a later deletion removed a key that exists.
         checkRandom(7715);
+        // An empty last page that lagged behind counted as as new as the first page.
+        checkRandom(48152);
     }
 
 private:
