Servers do not pay for the memory that answers of the store and of other routers take

Read in the review of the change: answers that are never given up counted towards the limit over which those of servers are. A long list of the store could have had every unfinished answer of sound servers given up. They count in the account of callers only.

--- a/src/memory/answeraccount.cpp
+++ b/src/memory/answeraccount.cpp
@@ -28,6 +28,7 @@
         return;
     const auto found = m_account->m_servers.try_emplace(m_server).first;
     AnswerAccount::Server &server = found->second;
+    m_account->m_yielding = m_account->m_yielding - before + bytes;
     server.held = server.held - before + bytes;
     if (before == 0)
         m_position = server.shares.insert(server.shares.end(), this);
--- a/src/memory/answeraccount.h
+++ b/src/memory/answeraccount.h
@@ -47,11 +47,12 @@
 
     std::size_t held() const { return m_held; }
     std::size_t limit() const { return m_limit; }
-    /// True while answers must be given up.
-    bool isOver() const { return m_held > m_limit; }
+    /// True while answers must be given up. Those without a server do not count here: others must
+    /// not pay for them.
+    bool isOver() const { return m_yielding > m_limit; }
     /// True while little may be held of each answer, and answers are given up before callers are
     /// refused for lack of memory.
-    bool isTight() const { return m_held > m_limit / 2; }
+    bool isTight() const { return m_yielding > m_limit / 2; }
     /// The largest share of the server that holds the most: servers with sound answers hold little,
     /// since these end. Null if there is none that may be given up.
     AnswerShare *victim() const;
@@ -66,7 +67,8 @@
     };
 
     std::size_t m_limit;
-    std::size_t m_held = 0; ///< Sum over all shares, those without a server included.
+    std::size_t m_held = 0;     ///< Sum over all shares, those without a server included.
+    std::size_t m_yielding = 0; ///< Sum over `m_servers`: what may be given up.
     std::map<std::string, Server> m_servers;
 };
 
