--- a/src/gateway/proxiedrequest.cpp
+++ b/src/gateway/proxiedrequest.cpp
@@ -25,7 +25,7 @@
     milliseconds(500); // a server starts or the server list is updated
 constexpr Duration kRetryAfterStartup =
     milliseconds(150); // a starting router reads its configuration in about 70 ms
-constexpr Duration kRetryAfterStop = milliseconds(10); // other routers take the request
+constexpr Duration kRetryAfterStop = milliseconds(10);      // other routers take the request
 constexpr Duration kRetryAfterNoConfig = milliseconds(500); // the store is slow or does not answer
 /// Callers that retry after a pause of all servers are spread over this time.
 constexpr Duration kRetryAfterSpread =
