An answer whose status HTTP does not define is malformed

Callers saw: a server's 600 or 999 as an answer. A 000 was taken for an interim answer: 502 when the connection closed, else the next answer on the connection in its place. A call of this process (store, other routers) got the body of a 000 in front of the body of the answer that followed.

Cause: every status under 200 counted as interim, and none was refused; 0 also means "no answer" in CallAnswer and in ProxiedRequest.

Change: the response parser refuses statuses outside 100 to 599, and 101, which answers only a request to switch protocols; Upgrade is never forwarded. No status from the wire can be 0 any more, and 1xx answers have no body.

Evidence: MalformedHeadTest, 7 tests. Before: 4 failed (600 reached the caller; "whole" after a 000 and after a 101; "forgedwhole" in a call).

--- a/src/traffic/httphead.h
+++ b/src/traffic/httphead.h
@@ -22,7 +22,7 @@
 {
     std::string method;  ///< Requests only.
     std::string target;  ///< Requests only: path and query as they came.
-    unsigned status = 0; ///< Responses only.
+    unsigned status = 0; ///< Responses only: 100 to 599 once a head was parsed, so 0 is no answer.
     unsigned minorVersion = 1;
     std::vector<HttpField> fields;
     std::optional<std::uint64_t> contentLength;
--- a/src/traffic/httpparser.cpp
+++ b/src/traffic/httpparser.cpp
@@ -22,6 +22,14 @@
     return name == http::field::transfer_encoding && !sameFieldName(value, "chunked");
 }
 
+/// HTTP defines 100 to 599. 101 answers only a request to switch protocols, and none is ever sent:
+/// Upgrade is a hop-by-hop field.
+bool isExpectedStatus(int status)
+{
+    constexpr int kSwitchingProtocols = 101;
+    return status >= 100 && status <= 599 && status != kSwitchingProtocols;
+}
+
 } // namespace
 
 template<bool isRequest>
@@ -81,8 +89,10 @@
 }
 
 template<bool isRequest>
-void HttpParser<isRequest>::on_response_impl(int status, View, int version, ErrorRef)
+void HttpParser<isRequest>::on_response_impl(int status, View, int version, ErrorRef error)
 {
+    if (!isExpectedStatus(status))
+        error = http::error::bad_status;
     m_head.status = static_cast<unsigned>(status);
     m_head.minorVersion = version >= 11 ? 1 : 0;
 }
--- a/src/traffic/httpparser.h
+++ b/src/traffic/httpparser.h
@@ -17,7 +17,7 @@
 
 enum class ParseFault : std::uint8_t {
     None,
-    Malformed,      ///< Not HTTP/1.x, or lengths that contradict each other.
+    Malformed,      ///< Not HTTP/1.x, a status outside the range, or lengths in contradiction.
     HeaderTooLarge, ///< Over the limit of header bytes.
     BodyTooLarge,   ///< Over the limit of body bytes.
 };
