An answer with a folded line in its head is malformed

Callers saw: a line that begins with a blank or a tab joined to the field before it. "X-Response-Signature: s" and then " X-Stage: v" arrived as the signature "s X-Stage: v".

Cause: Beast's parser unfolds lines. RFC 9112, 5.2 lets a proxy do that for a response, or discard the message with a 502. The line before may be a signature, an id or a length that somebody else reads; joined, it is not what the server wrote, and a server in trouble is the likelier writer. So the message is discarded.

Change: the response parser looks at the line starts of the bytes that Beast has parsed, up to the end of the head. Requests keep the other choice of the RFC.

Evidence: MalformedHeadTest.

--- a/src/traffic/httpparser.cpp
+++ b/src/traffic/httpparser.cpp
@@ -49,6 +49,8 @@
         boost::beast::error_code error;
         const std::size_t step =
             this->put(boost::asio::const_buffer(bytes.data() + used, bytes.size() - used), error);
+        if (!isRequest && hasFoldedLine(bytes.substr(used, step)))
+            m_fault = ParseFault::Malformed;
         used += step;
         if (error == http::error::need_more)
             break;
@@ -67,6 +69,23 @@
     return used;
 }
 
+template<bool isRequest>
+bool HttpParser<isRequest>::hasFoldedLine(std::string_view parsed)
+{
+    for (const char byte : parsed) {
+        if (m_headPosition == HeadPosition::End)
+            return false;
+        const bool isLineStart = m_headPosition == HeadPosition::LineStart;
+        if (isLineStart && (byte == ' ' || byte == '\t'))
+            return true;
+        if (isLineStart && byte == '\r')
+            m_headPosition = HeadPosition::End;
+        else
+            m_headPosition = byte == '\n' ? HeadPosition::LineStart : HeadPosition::InLine;
+    }
+    return false;
+}
+
 template<bool isRequest>
 void HttpParser<isRequest>::feedEnd()
 {
--- a/src/traffic/httpparser.h
+++ b/src/traffic/httpparser.h
@@ -17,7 +17,9 @@
 
 enum class ParseFault : std::uint8_t {
     None,
-    Malformed,      ///< Not HTTP/1.x, a status outside the range, or lengths in contradiction.
+    /// Not HTTP/1.x, lengths that contradict each other, a status outside the range or, in a
+    /// response, a folded line.
+    Malformed,
     HeaderTooLarge, ///< Over the limit of header bytes.
     BodyTooLarge,   ///< Over the limit of body bytes.
 };
@@ -61,12 +63,19 @@
     std::size_t on_chunk_body_impl(std::uint64_t, View bytes, ErrorRef) override;
     void on_finish_impl(ErrorRef) override { }
 
+    /// Where in a head the bytes end that were parsed.
+    enum class HeadPosition : std::uint8_t { InLine, LineStart, End };
+
     void readFraming();
+    /// True if a line of the head that ends in `parsed`, the next bytes, continues the line before
+    /// it. Beast joins such lines; the value before would not be the one that its sender wrote.
+    bool hasFoldedLine(std::string_view parsed);
     /// Makes room for the fields of the bytes that are being parsed.
     void reserveFields();
 
     std::string_view m_fed; ///< Bytes of the present feed(), else empty.
     HttpHead m_head;
+    HeadPosition m_headPosition = HeadPosition::InLine;
     bool m_headRead = false; ///< m_head says how the body is framed.
     std::string m_body;      ///< Body bytes that nobody has taken yet.
     ParseFault m_fault = ParseFault::None;
--- a/tests/traffic/malformedheadtest.cpp
+++ b/tests/traffic/malformedheadtest.cpp
@@ -56,6 +56,9 @@
     CPPUNIT_TEST(bodyOfAnInterimAnswerIsNoPartOfTheAnswer);
     CPPUNIT_TEST(soundInterimAnswersAreSkipped);
     CPPUNIT_TEST(invalidByteInTheNameOfAFieldIsNoAnswer);
+    CPPUNIT_TEST(foldedLineIsNoAnswer);
+    CPPUNIT_TEST(foldedLineSplitAnywhereIsRefused);
+    CPPUNIT_TEST(blankAtTheStartOfABodyLineIsNoFold);
     CPPUNIT_TEST(callGetsNoAnswerFromAMalformedHead);
     CPPUNIT_TEST_SUITE_END();
 
@@ -125,11 +128,49 @@
             checkLine(line);
     }
 
+    void foldedLineIsNoAnswer()
+    {
+        for (const std::string before :
+             {"X-Response-Signature: s", "X-Request-Id: r1", "Content-Type: text/plain",
+              "Content-Length: 5", "Content-Encoding: identity", "X-Replica-Load: 1,0,8",
+              "Connection: close", "Retry-After: 1"}) {
+            for (const std::string fold : {" X-Stage: v", "\tX-Stage: v", " : v", " ", "\t", "  v"})
+                checkLine(before + "\r\n" + fold);
+        }
+    }
+
+    void foldedLineSplitAnywhereIsRefused()
+    {
+        const std::string head =
+            "HTTP/1.1 200 OK\r\nX-A: 1\r\n X-B: 2\r\nContent-Length: 0\r\n\r\n";
+        for (std::size_t splitAt = 0; splitAt <= head.size(); ++splitAt) {
+            ResponseParser parser(1000, 1000);
+            std::string unparsed = head.substr(0, splitAt);
+            unparsed.erase(0, parser.feed(unparsed));
+            unparsed += head.substr(splitAt);
+            parser.feed(unparsed);
+            CPPUNIT_ASSERT_MESSAGE("split at " + std::to_string(splitAt),
+                                   parser.fault() == ParseFault::Malformed);
+        }
+    }
+
+    void blankAtTheStartOfABodyLineIsNoFold()
+    {
+        const std::string body = " a\r\n b\r\n\r\n\tc";
+        const RawCaller::Response response =
+            answerTo("/once/x",
+                     "HTTP/1.1 200 OK\r\n" + kOwnFields
+                         + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        CPPUNIT_ASSERT_EQUAL(200U, response.head.status);
+        CPPUNIT_ASSERT_EQUAL(body, response.body);
+    }
+
     void callGetsNoAnswerFromAMalformedHead()
     {
         for (const std::string start :
              {"HTTP/1.1 000 X\r\n", "HTTP/1.1 099 X\r\n", "HTTP/1.1 600 X\r\n",
-              "HTTP/1.1 101 X\r\n", "HTTP/1.1 200 OK\r\nX A: v\r\n"}) {
+              "HTTP/1.1 101 X\r\n", "HTTP/1.1 200 OK\r\nX A: v\r\n",
+              "HTTP/1.1 200 OK\r\nX-A: v\r\n X-B: v\r\n"}) {
             for (const std::string &body : kFramedBodies) {
                 checkCallFails(start + body, true);
                 checkCallFails(start + body + kSoundAnswer, false);
