Fields of a trailer are no part of the head

Callers could see: an answer without a signature as a server's own, if a trailer with a signature came in the same read as the head; its fields were passed on. Only read from the code: "X-Not-Executed" there would have had a request that ran sent again.

Cause: the parser's callback for fields runs for trailers too, and the head is handed over after the read that completes it, so it depended on how the bytes were cut.

Evidence: MalformedHeadTest::trailerIsNoPartOfTheHead.

--- a/tests/traffic/malformedheadtest.cpp
+++ b/tests/traffic/malformedheadtest.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(foldedLineSplitAnywhereIsRefused);
     CPPUNIT_TEST(blankAtTheStartOfABodyLineIsNoFold);
     CPPUNIT_TEST(callGetsNoAnswerFromAMalformedHead);
+    CPPUNIT_TEST(trailerIsNoPartOfTheHead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -178,6 +179,25 @@
         }
     }
 
+    void trailerIsNoPartOfTheHead()
+    {
+        const std::string chunks = "5\r\nwhole\r\n0\r\n";
+        const std::string start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+        checkRefused(
+            start + "X-Request-Id: r1\r\n\r\n" + chunks + "X-Response-Signature: s\r\n\r\n", false);
+        const RawCaller::Response response = answerTo(
+            "/once/x",
+            start + kOwnFields + "\r\n" + chunks + "X-Not-Executed: 1\r\nX-Late: v\r\n\r\n");
+        CPPUNIT_ASSERT_EQUAL(200U, response.head.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), response.body);
+        CPPUNIT_ASSERT(!response.head.find("X-Late"));
+        RequestParser request(1000, 1000);
+        request.feed("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks
+                     + "X-Late: v\r\n\r\n");
+        CPPUNIT_ASSERT(request.isComplete());
+        CPPUNIT_ASSERT(!request.head().find("X-Late"));
+    }
+
 private:
     /// A server's answer to every request, with or without the end of the connection after it.
     ServerConnection::Script scriptOf(const std::string &bytes, bool closes)
