An answer without a length is whole only if its request was written whole

Callers saw: the part of a 200 without a length that a server sent before it reset the connection during a long upload, as a complete answer; a stream ended as if it were whole. The same for calls to the store and other routers.

Cause: the kernel reports a reset to the first call on the socket. During an upload that is mostly a write; the reads after it give what had come and then a clean end, which completes an answer without a length. The writer knew, and nobody asked; the comment at the end of writeRequest() said the opposite.

Change: an answer that ends with its connection is ended only once the request was written. If the write fails, the connection counts as broken: 502, or a cut if the answer had begun. A write that is still under way is waited for: a server that closed its side only and reads on lets it end, and its answer is whole; one that has left resets. Answers with a length or chunks are delivered as before, also after a reset.

Evidence: BrokenUploadTest, uploads of 12 MB (more than sockets hold) from a caller that does not block the loop; reset or close with unread bytes, at once or after 60 ms; /once, /again, streams, buffered and streamed, and calls of HttpCaller.

--- a/src/traffic/backendconnection.cpp
+++ b/src/traffic/backendconnection.cpp
@@ -175,7 +175,7 @@
     }
     m_head = std::string();
     m_body.reset();
-    // A write that fails shows at the pending read too, after the bytes that came before it.
+    // The kernel reports a reset once: if a write gets it, reads end as if the server had closed.
 }
 
 void BackendConnection::read()
@@ -201,15 +201,10 @@
             close();
             return;
         }
-        if (isClean && m_parser && !m_discarding) {
-            m_parser->feedEnd();
-            if (m_parser->isComplete() && m_headGiven) {
-                m_closing = true;
-                finishResponse();
-                return;
-            }
-        }
-        fail(BreakKind::Closed);
+        if (isClean)
+            onServerClosed();
+        else
+            fail(BreakKind::Closed);
         return;
     }
     if (!m_listener) {
@@ -224,6 +219,34 @@
     read();
 }
 
+void BackendConnection::onServerClosed()
+{
+    if (m_parser && !m_discarding)
+        m_parser->feedEnd();
+    if (!m_parser || m_discarding || !m_headGiven || !m_parser->isComplete()) {
+        fail(BreakKind::Closed);
+        return;
+    }
+    m_closing = true;
+    finishOnceWritten();
+}
+
+void BackendConnection::finishOnceWritten()
+{
+    if (m_writer.backlog() > 0) {
+        // A server that still reads takes the rest of the request; one that has left resets.
+        m_writer.onDrained([this](bool) {
+            if (m_isOpen && m_listener)
+                finishOnceWritten();
+        });
+        return;
+    }
+    if (m_writer.isBroken())
+        fail(BreakKind::Closed);
+    else
+        finishResponse();
+}
+
 void BackendConnection::updateAccount()
 {
     if (!m_limits.account || !m_listener)
--- a/src/traffic/backendconnection.h
+++ b/src/traffic/backendconnection.h
@@ -112,6 +112,11 @@
     void writeRequest();
     void read();
     void onRead(const boost::system::error_code &error, std::size_t count);
+    /// The server has ended its side of the connection during a response.
+    void onServerClosed();
+    /// Ends a response that ended with its connection. It is whole only if the connection took the
+    /// whole request too: a reset that a write met looks like a clean end to the reader.
+    void finishOnceWritten();
     void parse();
     void giveWay() override;
     /// Tells the account what is held now, and has responses given up if that is too much.
--- /dev/null
+++ b/tests/traffic/brokenuploadtest.cpp
@@ -0,0 +1,238 @@
+// Servers that answer a long upload early and without a length, and break the connection while the
+// upload is still being written. What came of such an answer must not look complete.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "onerouter.h"
+#include "traffic/httpcall.h"
+
+using namespace comfrey;
+using namespace comfrey::loopback;
+
+namespace {
+
+using Request = ServerConnection::Request;
+
+/// More than the sockets of a connection hold on loopback.
+constexpr std::size_t kUploadBytes = std::size_t{12} << 20;
+constexpr std::size_t kSmallPart = 2000;
+constexpr std::size_t kStreamedPart = 400000; ///< More than is buffered.
+constexpr Duration kWaitBeforeBreak = milliseconds(60);
+
+/// How a server breaks off after the part of its answer.
+enum class Break : std::uint8_t {
+    ResetAtOnce,
+    ResetLater,
+    CloseAtOnce, ///< With unread bytes, so the kernel resets the connection.
+    CloseLater,
+};
+
+const std::vector<Break> kBreaks = {Break::ResetAtOnce, Break::ResetLater, Break::CloseAtOnce,
+                                    Break::CloseLater};
+
+Route route(const std::string &prefix, RouteKind kind)
+{
+    Route result;
+    result.name = prefix;
+    result.host = "a.example";
+    result.pathPrefix = prefix;
+    result.kind = kind;
+    result.timeout = milliseconds(10000);
+    result.maxAttempts = 1;
+    result.targets = {{ServiceName("s"), 1}};
+    return result;
+}
+
+std::string headWithoutLength(const Request &request)
+{
+    return "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Request-Id: "
+        + std::string(request.head.valueOf("X-Request-Id")) + "\r\n\r\n";
+}
+
+} // namespace
+
+class BrokenUploadTest : public CppUnit::TestFixture, private OneRouter
+{
+    CPPUNIT_TEST_SUITE(BrokenUploadTest);
+    CPPUNIT_TEST(partOfAnAnswerBeforeAResetIsNoAnswer);
+    CPPUNIT_TEST(partOfALongAnswerBeforeAResetIsVisiblyTruncated);
+    CPPUNIT_TEST(partOfAStreamBeforeAResetIsVisiblyTruncated);
+    CPPUNIT_TEST(callGetsNoAnswerFromAPartBeforeAReset);
+    CPPUNIT_TEST(wholeAnswerWithALengthBeforeAResetIsDelivered);
+    CPPUNIT_TEST(wholeAnswerIsDeliveredIfTheServerReadsOn);
+    CPPUNIT_TEST(wholeAnswerAfterTheUploadIsDelivered);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        FleetConfig config;
+        config.version = 1;
+        config.limits.maxBodyBytes = 2 * kUploadBytes;
+        config.routes = {route("/once/", RouteKind::AtMostOnce),
+                         route("/again/", RouteKind::Retryable),
+                         route("/stream/", RouteKind::Stream)};
+        m_dispatcher.apply(std::move(config));
+        CPPUNIT_ASSERT(m_listener.listen("127.0.0.1:0"));
+    }
+
+    void partOfAnAnswerBeforeAResetIsNoAnswer()
+    {
+        for (const std::string path : {"/once/", "/again/"}) {
+            for (const Break how : kBreaks) {
+                ScriptedServer server(m_loop, partThenBreak(std::string(kSmallPart, 'p'), how));
+                const auto response = upload(server, path);
+                CPPUNIT_ASSERT(response);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(what(path, how), 502U, response->head.status);
+            }
+        }
+    }
+
+    void partOfALongAnswerBeforeAResetIsVisiblyTruncated()
+    {
+        for (const std::string path : {"/once/", "/again/"}) {
+            for (const Break how : kBreaks) {
+                ScriptedServer server(m_loop, partThenBreak(std::string(kStreamedPart, 'p'), how));
+                const auto response = upload(server, path);
+                CPPUNIT_ASSERT_MESSAGE(what(path, how), !response || response->head.status == 502);
+            }
+        }
+    }
+
+    void partOfAStreamBeforeAResetIsVisiblyTruncated()
+    {
+        for (const Break how : kBreaks) {
+            ScriptedServer server(m_loop, partThenBreak("id: 1\ndata: a\n\n", how));
+            const auto response = upload(server, "/stream/");
+            CPPUNIT_ASSERT_MESSAGE(what("/stream/", how),
+                                   !response || response->head.status == 502);
+        }
+    }
+
+    void callGetsNoAnswerFromAPartBeforeAReset()
+    {
+        for (const Break how : kBreaks) {
+            ScriptedServer server(m_loop, partThenBreak(std::string(kSmallPart, 'p'), how));
+            server.actOnHeads();
+            HttpCaller caller(m_loop, {milliseconds(1000), milliseconds(3000), 16384}, now);
+            HttpCaller::Call call;
+            call.to = {boost::asio::ip::address_v4::loopback(), server.port()};
+            call.method = "POST";
+            call.target = "/";
+            call.body = std::string(kUploadBytes, 'x');
+            call.timeout = milliseconds(5000);
+            std::optional<CallAnswer> answer;
+            caller.start(std::move(call), [&](CallAnswer given) { answer = std::move(given); });
+            CPPUNIT_ASSERT(runUntil(m_loop, [&] { return answer.has_value(); }));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(what("call", how), 0U, answer->status);
+            CPPUNIT_ASSERT_EQUAL(std::string("connection broke"), answer->problem);
+            CPPUNIT_ASSERT(answer->wasSent);
+        }
+    }
+
+    void wholeAnswerWithALengthBeforeAResetIsDelivered()
+    {
+        for (const Break how : {Break::ResetLater, Break::CloseLater}) {
+            ScriptedServer server(m_loop,
+                                  [&](ServerConnection &connection, const Request &request) {
+                                      connection.stopReading();
+                                      connection.answer(request, "whole");
+                                      breakOff(connection, how);
+                                  });
+            const auto response = upload(server, "/once/");
+            CPPUNIT_ASSERT(response);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(what("/once/", how), 200U, response->head.status);
+            CPPUNIT_ASSERT_EQUAL(std::string("whole"), response->body);
+        }
+    }
+
+    void wholeAnswerIsDeliveredIfTheServerReadsOn()
+    {
+        for (const std::string path : {"/once/", "/again/", "/stream/"}) {
+            ScriptedServer server(m_loop, [](ServerConnection &connection, const Request &request) {
+                connection.write(headWithoutLength(request) + "id: 1\ndata: a\n\n");
+                connection.closeSendingSide();
+            });
+            const auto response = upload(server, path);
+            CPPUNIT_ASSERT_MESSAGE(path, response);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 200U, response->head.status);
+            CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\n"), response->body);
+        }
+    }
+
+    void wholeAnswerAfterTheUploadIsDelivered()
+    {
+        for (const std::string path : {"/once/", "/again/", "/stream/"}) {
+            ScriptedServer server(m_loop, [](ServerConnection &connection, const Request &request) {
+                connection.write(headWithoutLength(request) + std::to_string(request.body.size())
+                                 + "\n\n");
+                connection.close();
+            });
+            const auto response = upload(server, path, false);
+            CPPUNIT_ASSERT_MESSAGE(path, response);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 200U, response->head.status);
+            CPPUNIT_ASSERT_EQUAL(std::to_string(kUploadBytes) + "\n\n", response->body);
+        }
+    }
+
+private:
+    static std::string what(const std::string &path, Break how)
+    {
+        return path + ", break " + std::to_string(static_cast<int>(how));
+    }
+
+    void breakOff(ServerConnection &connection, Break how)
+    {
+        const bool isReset = how == Break::ResetAtOnce || how == Break::ResetLater;
+        const auto end = [isReset, kept = connection.shared_from_this()] {
+            isReset ? kept->reset() : kept->close();
+        };
+        if (how == Break::ResetAtOnce || how == Break::CloseAtOnce) {
+            end();
+            return;
+        }
+        auto timer = std::make_shared<boost::asio::steady_timer>(
+            m_loop,
+            std::chrono::duration_cast<std::chrono::steady_clock::duration>(kWaitBeforeBreak));
+        timer->async_wait([timer, end](const boost::system::error_code &) { end(); });
+    }
+
+    ServerConnection::Script partThenBreak(const std::string &part, Break how)
+    {
+        return [this, part, how](ServerConnection &connection, const Request &request) {
+            connection.stopReading();
+            connection.write(headWithoutLength(request) + part);
+            breakOff(connection, how);
+        };
+    }
+
+    /// What a caller gets for an upload; nothing if its answer does not end properly.
+    std::optional<RawCaller::Response> upload(ScriptedServer &server, const std::string &path,
+                                              bool isAnsweredEarly = true)
+    {
+        if (isAnsweredEarly)
+            server.actOnHeads();
+        ReplicaRecord record = recordOf(server, "e0");
+        record.startedAtMs = ++m_starts;
+        m_dispatcher.replicas().put(record, now());
+        RawCaller caller(m_loop, m_listener.port());
+        // Each request has a path of its own, or it would count as one that crashes its servers.
+        caller.sendInBackground("POST " + path + std::to_string(m_starts)
+                                + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r1\r\n"
+                                  "Content-Length: "
+                                + std::to_string(kUploadBytes) + "\r\n\r\n"
+                                + std::string(kUploadBytes, 'x'));
+        std::optional<RawCaller::Response> response;
+        CPPUNIT_ASSERT(runUntil(m_loop, [&] {
+            if (!response)
+                response = caller.takeResponse();
+            return response || caller.isClosed();
+        }));
+        return response ? response : caller.takeResponse();
+    }
+
+    std::uint64_t m_starts = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BrokenUploadTest);
--- a/tests/traffic/loopback.cpp
+++ b/tests/traffic/loopback.cpp
@@ -42,7 +42,7 @@
                 return;
             }
             self->onBytes(count);
-            if (self->m_socket.is_open())
+            if (self->m_socket.is_open() && self->m_reads)
                 self->read();
         });
 }
@@ -105,6 +105,12 @@
     m_socket.close(ignored);
 }
 
+void ServerConnection::closeSendingSide()
+{
+    boost::system::error_code ignored; // The peer may have left.
+    m_socket.shutdown(Socket::shutdown_send, ignored);
+}
+
 ScriptedServer::ScriptedServer(boost::asio::io_context &loop, ServerConnection::Script script,
                                std::uint16_t port)
     : m_acceptor(loop, {boost::asio::ip::address_v4::loopback(), port}),
@@ -183,6 +189,16 @@
     boost::asio::write(m_state->socket, boost::asio::buffer(bytes), ignored);
 }
 
+void RawCaller::sendInBackground(std::string bytes)
+{
+    const auto kept = std::make_shared<const std::string>(std::move(bytes));
+    boost::asio::async_write(
+        m_state->socket, boost::asio::buffer(*kept),
+        [state = m_state, kept](const boost::system::error_code &error, std::size_t) {
+            state->reset = state->reset || error;
+        });
+}
+
 void RawCaller::read(const std::shared_ptr<State> &state)
 {
     state->socket.async_read_some(
--- a/tests/traffic/loopback.h
+++ b/tests/traffic/loopback.h
@@ -56,6 +56,10 @@
                 int status = 200);
     void close();
     void reset();
+    /// Ends the answer; what the other side sends is still read.
+    void closeSendingSide();
+    /// Leaves what the other side sends in the socket from now on.
+    void stopReading() { m_reads = false; }
     bool isClosedByPeer() const { return m_closedByPeer; }
     /// Acts on each head at once, without waiting for the body.
     void actOnHeads() { m_onHeads = true; }
@@ -72,6 +76,7 @@
     bool m_closedByPeer = false;
     bool m_onHeads = false;
     bool m_acted = false;
+    bool m_reads = true;
 };
 
 /// Listens and runs a script for each request.
@@ -113,6 +118,8 @@
     RawCaller &operator=(const RawCaller &) = delete;
 
     void send(const std::string &bytes);
+    /// Sends bytes that are more than sockets hold while the test's loop runs.
+    void sendInBackground(std::string bytes);
     void close() { m_state->socket.close(); }
     const std::string &received() const { return m_state->received; }
     bool isClosed() const { return m_state->closed; }
