A connection whose write failed is not used again

Seen: after a whole answer with a length and a reset during the upload, the connection counted as reusable until its next read. A request sent on it then is not written at all, since the writer ignores what follows a failure, and ends as one that may have run.

Cause: a failed write has no backlog, and isReusable() asked for the backlog only.

That the next request is lost is read from SocketWriter, not run.

--- a/src/traffic/backendconnection.h
+++ b/src/traffic/backendconnection.h
@@ -96,7 +96,8 @@
     /// True if the next request may go out on it.
     bool isReusable() const
     {
-        return m_isOpen && !m_listener && !m_closing && m_writer.backlog() == 0;
+        return m_isOpen && !m_listener && !m_closing && m_writer.backlog() == 0
+            && !m_writer.isBroken(); // A write that failed has no backlog.
     }
     /// True if an earlier request went out on it, so that a late copy of its response may come.
     bool isKept() const { return m_requestCount > 1; }
--- a/tests/traffic/brokenuploadtest.cpp
+++ b/tests/traffic/brokenuploadtest.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(wholeAnswerWithALengthBeforeAResetIsDelivered);
     CPPUNIT_TEST(wholeAnswerIsDeliveredIfTheServerReadsOn);
     CPPUNIT_TEST(wholeAnswerAfterTheUploadIsDelivered);
+    CPPUNIT_TEST(connectionWhoseUploadBrokeIsNotReused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -176,7 +177,57 @@
         }
     }
 
+    void connectionWhoseUploadBrokeIsNotReused()
+    {
+        ScriptedServer server(m_loop, [&](ServerConnection &connection, const Request &request) {
+            if (request.head.method != "POST") {
+                connection.answer(request, "next");
+                return;
+            }
+            connection.stopReading();
+            connection.answer(request, "early");
+            breakOff(connection, Break::ResetLater);
+        });
+        // The answer is read only after the reset has ended the write.
+        const BackendPool::Connection connection =
+            m_pool.take("e0", {boost::asio::ip::address_v4::loopback(), server.port()}, now());
+        server.actOnHeads();
+        KeptAnswer answer(*connection);
+        connection->send("POST /1 HTTP/1.1\r\nX-Request-Id: r1\r\nContent-Length: "
+                             + std::to_string(kUploadBytes) + "\r\n\r\n",
+                         std::make_shared<const std::string>(kUploadBytes, 'x'), false, &answer);
+        connection->setPaused(true);
+        runFor(m_loop, 4 * kWaitBeforeBreak);
+        connection->setPaused(false);
+        CPPUNIT_ASSERT(runUntil(m_loop, [&] { return answer.hasEnded; }));
+        CPPUNIT_ASSERT_EQUAL(std::string("early"), answer.body);
+        CPPUNIT_ASSERT(!answer.wasReusable);
+    }
+
 private:
+    /// Keeps an answer, and whether its connection could be used again when it ended.
+    class KeptAnswer : public BackendListener
+    {
+    public:
+        explicit KeptAnswer(const BackendConnection &connection) : m_connection(connection) { }
+        bool acceptsHead(const HttpHead &) override { return true; }
+        void onHead(HttpHead &) override { }
+        void onBody(std::string_view bytes) override { body.append(bytes); }
+        void onEnd() override
+        {
+            hasEnded = true;
+            wasReusable = m_connection.isReusable();
+        }
+        void onBroken(BreakKind) override { hasEnded = true; }
+
+        std::string body;
+        bool hasEnded = false;
+        bool wasReusable = false;
+
+    private:
+        const BackendConnection &m_connection;
+    };
+
     static std::string what(const std::string &path, Break how)
     {
         return path + ", break " + std::to_string(static_cast<int>(how));
