comfreyd believes "not appended" only of a 429 or a 503

Seen: an answer of the platform with the status 000 and {"appended":false} counted as a refused append, on which a claim may be reported as never made. docs/STANDINS.md names that body for a 503 only; comfreyctl asked for it already.

Change: with any other status the append counts as lost, and its record is looked for in the log.

--- a/src/daemon/platformclient.cpp
+++ b/src/daemon/platformclient.cpp
@@ -47,7 +47,8 @@
         answered.result = AppendResult::Accepted;
         answered.offset = LogOffset(offset->get<std::uint64_t>());
     } else if (result->status == 429
-               || (appended != body.end() && appended->is_boolean() && !appended->get<bool>())) {
+               || (result->status == 503 && appended != body.end() && appended->is_boolean()
+                   && !appended->get<bool>())) {
         answered.result = AppendResult::Refused;
     }
     return answered;
