--- a/tests/traffic/brokenuploadtest.cpp
+++ b/tests/traffic/brokenuploadtest.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(wholeAnswerIsDeliveredIfTheServerReadsOn);
     CPPUNIT_TEST(wholeAnswerAfterTheUploadIsDelivered);
     CPPUNIT_TEST(connectionWhoseUploadBrokeIsNotReused);
+    CPPUNIT_TEST(callerOfTestsTakesNoPartBeforeAResetForAnAnswer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -204,6 +205,22 @@
         CPPUNIT_ASSERT(!answer.wasReusable);
     }
 
+    /// A stand-in that misses a reset would hide such a fault of the router.
+    void callerOfTestsTakesNoPartBeforeAResetForAnAnswer()
+    {
+        RawCaller *sender = nullptr;
+        ScriptedServer server(m_loop, [&](ServerConnection &connection, const Request &request) {
+            connection.write(headWithoutLength(request) + "part");
+            connection.reset();
+            sender->send("more"); // The write meets the reset.
+        });
+        RawCaller caller(m_loop, server.port());
+        sender = &caller;
+        caller.send("GET / HTTP/1.1\r\nX-Request-Id: r1\r\n\r\n");
+        CPPUNIT_ASSERT(runUntil(m_loop, [&] { return caller.isClosed(); }));
+        CPPUNIT_ASSERT(!caller.takeResponse());
+    }
+
 private:
     /// Keeps an answer, and whether its connection could be used again when it ended.
     class KeptAnswer : public BackendListener
--- a/tests/traffic/loopback.cpp
+++ b/tests/traffic/loopback.cpp
@@ -167,8 +167,9 @@
                 state->closed = error != boost::asio::error::operation_aborted;
                 return;
             }
-            boost::system::error_code ignored; // It shows at the read.
-            boost::asio::write(state->socket, boost::asio::buffer(state->unsent), ignored);
+            boost::system::error_code failure;
+            boost::asio::write(state->socket, boost::asio::buffer(state->unsent), failure);
+            state->noteWrite(failure);
             read(state);
         });
 }
@@ -185,18 +186,17 @@
         m_state->unsent += bytes;
         return;
     }
-    boost::system::error_code ignored; // A router that has closed is what some tests are about.
-    boost::asio::write(m_state->socket, boost::asio::buffer(bytes), ignored);
+    boost::system::error_code error; // A router that has closed is what some tests are about.
+    boost::asio::write(m_state->socket, boost::asio::buffer(bytes), error);
+    m_state->noteWrite(error);
 }
 
 void RawCaller::sendInBackground(std::string bytes)
 {
     const auto kept = std::make_shared<const std::string>(std::move(bytes));
-    boost::asio::async_write(
-        m_state->socket, boost::asio::buffer(*kept),
-        [state = m_state, kept](const boost::system::error_code &error, std::size_t) {
-            state->reset = state->reset || error;
-        });
+    boost::asio::async_write(m_state->socket, boost::asio::buffer(*kept),
+                             [state = m_state, kept](const boost::system::error_code &error,
+                                                     std::size_t) { state->noteWrite(error); });
 }
 
 void RawCaller::read(const std::shared_ptr<State> &state)
@@ -206,7 +206,7 @@
         [state](const boost::system::error_code &error, std::size_t count) {
             if (error) {
                 state->closed = error != boost::asio::error::operation_aborted;
-                state->reset = error == boost::asio::error::connection_reset;
+                state->reset = state->reset || error == boost::asio::error::connection_reset;
                 return;
             }
             state->received.append(state->chunk.data(), count);
--- a/tests/traffic/loopback.h
+++ b/tests/traffic/loopback.h
@@ -136,6 +136,9 @@
     struct State
     {
         explicit State(boost::asio::io_context &loop) : socket(loop) { }
+        /// After a write that met a reset, the reads end as if the other side had closed.
+        void noteWrite(const boost::system::error_code &error) { reset = reset || error; }
+
         Socket socket;
         std::array<char, 65536> chunk{};
         std::string received;
