--- a/tests/traffic/brokenuploadtest.cpp
+++ b/tests/traffic/brokenuploadtest.cpp
@@ -26,10 +26,11 @@
     ResetLater,
     CloseAtOnce, ///< With unread bytes, so the kernel resets the connection.
     CloseLater,
+    EndThenReset, ///< Ends its side cleanly, reads no more and resets later.
 };
 
 const std::vector<Break> kBreaks = {Break::ResetAtOnce, Break::ResetLater, Break::CloseAtOnce,
-                                    Break::CloseLater};
+                                    Break::CloseLater, Break::EndThenReset};
 
 Route route(const std::string &prefix, RouteKind kind)
 {
@@ -252,7 +253,9 @@
 
     void breakOff(ServerConnection &connection, Break how)
     {
-        const bool isReset = how == Break::ResetAtOnce || how == Break::ResetLater;
+        const bool isReset = how != Break::CloseAtOnce && how != Break::CloseLater;
+        if (how == Break::EndThenReset)
+            connection.closeSendingSide();
         const auto end = [isReset, kept = connection.shared_from_this()] {
             isReset ? kept->reset() : kept->close();
         };
