The parser asks Beast whether the head is done instead of keeping a flag

Cause: the flag for trailers said what the base class knows. Change: is_header_done() in the callback for fields; no change of behaviour. Evidence: MalformedHeadTest 11, EndlessBytesTest 14, ParsingTest 18, BrokenHeadTest 6, CallerConnectionTest 5, GatewayTest 33, BrokenUploadTest 9, none failed.

--- a/src/traffic/httpparser.cpp
+++ b/src/traffic/httpparser.cpp
@@ -120,8 +120,8 @@
 void HttpParser<isRequest>::on_field_impl(http::field name, View fieldName, View value,
                                           ErrorRef error)
 {
-    if (m_isAfterHead)
-        return;
+    if (this->is_header_done())
+        return; // A field of a trailer.
     if (m_head.fields.empty())
         reserveFields();
     m_head.fields.push_back({textOf(fieldName), textOf(value)});
--- a/src/traffic/httpparser.h
+++ b/src/traffic/httpparser.h
@@ -56,7 +56,7 @@
     void on_response_impl(int status, View reason, int version, ErrorRef) override;
     void on_field_impl(boost::beast::http::field name, View fieldName, View value,
                        ErrorRef error) override;
-    void on_header_impl(ErrorRef) override { m_isAfterHead = true; }
+    void on_header_impl(ErrorRef) override { }
     void on_body_init_impl(const boost::optional<std::uint64_t> &, ErrorRef) override { }
     std::size_t on_body_impl(View bytes, ErrorRef) override;
     void on_chunk_header_impl(std::uint64_t, View, ErrorRef) override { }
@@ -76,9 +76,8 @@
     std::string_view m_fed; ///< Bytes of the present feed(), else empty.
     HttpHead m_head;
     HeadPosition m_headPosition = HeadPosition::InLine;
-    bool m_isAfterHead = false; ///< Fields that follow are those of a trailer.
-    bool m_headRead = false;    ///< m_head says how the body is framed.
-    std::string m_body;         ///< Body bytes that nobody has taken yet.
+    bool m_headRead = false; ///< m_head says how the body is framed.
+    std::string m_body;      ///< Body bytes that nobody has taken yet.
     ParseFault m_fault = ParseFault::None;
 };
 
