Tests of broken answers share their routes and their sink of events

Cause: the new tests wrote again what BrokenHeadTest and PlatformClientTest had. Change: OneRouter listens with a route of each kind; LastEvent has a header of its own. No check changed.

--- a/tests/threaded/brokenanswertest.cpp
+++ b/tests/threaded/brokenanswertest.cpp
@@ -2,12 +2,11 @@
 // folded lines, and parts of answers before a reset during an upload.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <condition_variable>
-#include <mutex>
 #include <thread>
 
 #include "daemon/backendclient.h"
 #include "daemon/platformclient.h"
+#include "lastevent.h"
 #include "traffic/loopback.h"
 
 using namespace comfrey;
@@ -17,34 +16,6 @@
 /// More than the sockets of a connection hold on loopback.
 constexpr std::size_t kUploadBytes = std::size_t{12} << 20;
 
-/// Keeps the last event.
-class LastEvent : public EventSink
-{
-public:
-    void post(Event event) override
-    {
-        const std::lock_guard lock(m_mutex);
-        m_event = std::move(event);
-        m_changed.notify_all();
-    }
-
-    template<typename Expected>
-    Expected take()
-    {
-        std::unique_lock lock(m_mutex);
-        m_changed.wait_for(lock, std::chrono::seconds(20), [this] { return m_event.has_value(); });
-        CPPUNIT_ASSERT(m_event && std::holds_alternative<Expected>(*m_event));
-        Expected event = std::get<Expected>(std::move(*m_event));
-        m_event.reset();
-        return event;
-    }
-
-private:
-    std::mutex m_mutex;
-    std::condition_variable m_changed;
-    std::optional<Event> m_event;
-};
-
 /// A server that answers the head of each request with the same bytes and ends the connection.
 class BrokenServer
 {
@@ -150,15 +121,23 @@
                 BrokenServer::End::Close);
             PlatformClient client(server.address(), std::chrono::milliseconds(5000), m_sink);
             client.readInstances();
-            m_sink.take<InstanceListFailed>();
+            next<InstanceListFailed>();
             client.read({StreamId("config"), LogOffset(1), false});
-            m_sink.take<LogReadFailed>();
+            next<LogReadFailed>();
             client.fetchWeights(FetchWeights());
-            CPPUNIT_ASSERT(m_sink.take<WeightsAnswered>().result == WeightsResult::Lost);
+            CPPUNIT_ASSERT(next<WeightsAnswered>().result == WeightsResult::Lost);
         }
     }
 
 private:
+    template<typename Expected>
+    Expected next()
+    {
+        std::optional<Event> event = m_sink.wait();
+        CPPUNIT_ASSERT(event && std::holds_alternative<Expected>(*event));
+        return std::get<Expected>(std::move(*event));
+    }
+
     AttemptEnded callService(const BrokenServer &server, const std::string &body)
     {
         CallerRequest detail;
@@ -178,7 +157,7 @@
         order.address = server.address();
         order.timeout = milliseconds(10000);
         client.send(order);
-        const AttemptEnded ended = m_sink.take<AttemptEnded>();
+        const AttemptEnded ended = next<AttemptEnded>();
         loop.stop();
         return ended;
     }
@@ -199,7 +178,7 @@
         order.stream = StreamId("config");
         order.payload = Bytes(bytes, {});
         client.append(order);
-        return m_sink.take<AppendAnswered>().result;
+        return next<AppendAnswered>().result;
     }
 
     LastEvent m_sink;
--- a/tests/threaded/platformclienttest.cpp
+++ b/tests/threaded/platformclienttest.cpp
@@ -1,10 +1,6 @@
 // What the platform's interfaces answer is read without trust in the writers of single entries.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <chrono>
-#include <condition_variable>
-#include <mutex>
-#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -12,35 +8,12 @@
 
 #include "common/httpserver.h"
 #include "daemon/platformclient.h"
+#include "lastevent.h"
 
 using namespace comfrey;
 
 namespace {
 
-/// Keeps the last event.
-class LastEvent : public EventSink
-{
-public:
-    void post(Event event) override
-    {
-        const std::lock_guard lock(m_mutex);
-        m_event = std::move(event);
-        m_changed.notify_all();
-    }
-
-    std::optional<Event> wait()
-    {
-        std::unique_lock lock(m_mutex);
-        m_changed.wait_for(lock, std::chrono::seconds(10), [this] { return m_event.has_value(); });
-        return std::exchange(m_event, std::nullopt);
-    }
-
-private:
-    std::mutex m_mutex;
-    std::condition_variable m_changed;
-    std::optional<Event> m_event;
-};
-
 constexpr std::size_t kNesting = 200000;
 const std::string kNested = std::string(kNesting, '[') + std::string(kNesting, ']');
 
--- a/tests/traffic/brokenheadtest.cpp
+++ b/tests/traffic/brokenheadtest.cpp
@@ -11,19 +11,6 @@
 
 using Request = ServerConnection::Request;
 
-Route route(const std::string &prefix, RouteKind kind)
-{
-    Route result;
-    result.name = prefix;
-    result.host = "a.example";
-    result.pathPrefix = prefix;
-    result.kind = kind;
-    result.timeout = milliseconds(5000);
-    result.maxAttempts = 1;
-    result.targets = {{ServiceName("s"), 1}};
-    return result;
-}
-
 std::string requestFor(const std::string &method, const std::string &path)
 {
     return method + ' ' + path + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: r1\r\n\r\n";
@@ -43,16 +30,7 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void setUp() override
-    {
-        FleetConfig config;
-        config.version = 1;
-        config.routes = {route("/once/", RouteKind::AtMostOnce),
-                         route("/again/", RouteKind::Retryable),
-                         route("/stream/", RouteKind::Stream)};
-        m_dispatcher.apply(std::move(config));
-        CPPUNIT_ASSERT(m_listener.listen("127.0.0.1:0"));
-    }
+    void setUp() override { listenWithARouteOfEachKind(milliseconds(5000)); }
 
     void answerWithALengthBrokenInItsHeadIsNoSuccess()
     {
--- a/tests/traffic/brokenuploadtest.cpp
+++ b/tests/traffic/brokenuploadtest.cpp
@@ -32,19 +32,6 @@
 const std::vector<Break> kBreaks = {Break::ResetAtOnce, Break::ResetLater, Break::CloseAtOnce,
                                     Break::CloseLater, Break::EndThenReset};
 
-Route route(const std::string &prefix, RouteKind kind)
-{
-    Route result;
-    result.name = prefix;
-    result.host = "a.example";
-    result.pathPrefix = prefix;
-    result.kind = kind;
-    result.timeout = milliseconds(10000);
-    result.maxAttempts = 1;
-    result.targets = {{ServiceName("s"), 1}};
-    return result;
-}
-
 std::string headWithoutLength(const Request &request)
 {
     return "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Request-Id: "
@@ -70,14 +57,9 @@
 public:
     void setUp() override
     {
-        FleetConfig config;
-        config.version = 1;
-        config.limits.maxBodyBytes = 2 * kUploadBytes;
-        config.routes = {route("/once/", RouteKind::AtMostOnce),
-                         route("/again/", RouteKind::Retryable),
-                         route("/stream/", RouteKind::Stream)};
-        m_dispatcher.apply(std::move(config));
-        CPPUNIT_ASSERT(m_listener.listen("127.0.0.1:0"));
+        CallerLimits limits;
+        limits.maxBodyBytes = 2 * kUploadBytes;
+        listenWithARouteOfEachKind(milliseconds(10000), limits);
     }
 
     void partOfAnAnswerBeforeAResetIsNoAnswer()
--- a/tests/traffic/malformedheadtest.cpp
+++ b/tests/traffic/malformedheadtest.cpp
@@ -1,6 +1,6 @@
-// Heads of answers that are no HTTP: statuses outside the range, lines that are no field, and
-// bodies of interim answers. No caller may get any part of such an answer, nor may a call of this
-// process.
+// Heads of answers that are no HTTP: statuses outside the range, lines that are no field, bodies of
+// interim answers; and trailers, which are no part of a head. No caller may get any part of a
+// malformed answer, nor may a call of this process.
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "onerouter.h"
@@ -22,19 +22,6 @@
     "Content-Length: 6\r\n\r\nforged", "Transfer-Encoding: chunked\r\n\r\n6\r\nforged\r\n0\r\n\r\n",
     "\r\nforged", "Content-Length: 0\r\n\r\n"};
 
-Route route(const std::string &prefix, RouteKind kind)
-{
-    Route result;
-    result.name = prefix;
-    result.host = "a.example";
-    result.pathPrefix = prefix;
-    result.kind = kind;
-    result.timeout = milliseconds(5000);
-    result.maxAttempts = 1;
-    result.targets = {{ServiceName("s"), 1}};
-    return result;
-}
-
 /// Lines whose name has `invalid` inside it, at its end or at its start.
 std::vector<std::string> linesWith(char invalid)
 {
@@ -64,16 +51,7 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void setUp() override
-    {
-        FleetConfig config;
-        config.version = 1;
-        config.routes = {route("/once/", RouteKind::AtMostOnce),
-                         route("/again/", RouteKind::Retryable),
-                         route("/stream/", RouteKind::Stream)};
-        m_dispatcher.apply(std::move(config));
-        CPPUNIT_ASSERT(m_listener.listen("127.0.0.1:0"));
-    }
+    void setUp() override { listenWithARouteOfEachKind(milliseconds(5000)); }
 
     void statusOutsideTheRangeIsNoAnswer()
     {
--- a/tests/traffic/onerouter.h
+++ b/tests/traffic/onerouter.h
@@ -19,6 +19,33 @@
 protected:
     explicit OneRouter(const DispatcherSettings &settings = {}) : m_dispatcher(settings) { }
 
+    /// Listens with the routes /once/, /again/ and /stream/ to the servers that are added: one of
+    /// each kind, none with a second attempt.
+    void listenWithARouteOfEachKind(Duration timeout, const CallerLimits &limits = {})
+    {
+        FleetConfig config;
+        config.version = 1;
+        config.limits = limits;
+        config.routes = {routeOf("/once/", RouteKind::AtMostOnce, timeout),
+                         routeOf("/again/", RouteKind::Retryable, timeout),
+                         routeOf("/stream/", RouteKind::Stream, timeout)};
+        m_dispatcher.apply(std::move(config));
+        CPPUNIT_ASSERT(m_listener.listen("127.0.0.1:0"));
+    }
+
+    static Route routeOf(const std::string &prefix, RouteKind kind, Duration timeout)
+    {
+        Route route;
+        route.name = prefix;
+        route.host = "a.example";
+        route.pathPrefix = prefix;
+        route.kind = kind;
+        route.timeout = timeout;
+        route.maxAttempts = 1;
+        route.targets = {{ServiceName("s"), 1}};
+        return route;
+    }
+
     /// The record by which the router knows the server under `id`.
     static ReplicaRecord recordOf(const ScriptedServer &server, const std::string &id)
     {
