--- a/tests/threaded/brokenanswertest.cpp
+++ b/tests/threaded/brokenanswertest.cpp
@@ -157,7 +157,7 @@
         order.address = server.address();
         order.timeout = milliseconds(10000);
         client.send(order);
-        const AttemptEnded ended = next<AttemptEnded>();
+        AttemptEnded ended = next<AttemptEnded>();
         loop.stop();
         return ended;
     }
--- a/tests/traffic/malformedheadtest.cpp
+++ b/tests/traffic/malformedheadtest.cpp
@@ -3,6 +3,9 @@
 // malformed answer, nor may a call of this process.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <initializer_list>
+#include <string_view>
+
 #include "onerouter.h"
 #include "traffic/httpcall.h"
 
@@ -22,6 +25,14 @@
     "Content-Length: 6\r\n\r\nforged", "Transfer-Encoding: chunked\r\n\r\n6\r\nforged\r\n0\r\n\r\n",
     "\r\nforged", "Content-Length: 0\r\n\r\n"};
 
+std::string joined(std::initializer_list<std::string_view> parts)
+{
+    std::string text;
+    for (const std::string_view part : parts)
+        text += part;
+    return text;
+}
+
 /// Lines whose name has `invalid` inside it, at its end or at its start.
 std::vector<std::string> linesWith(char invalid)
 {
@@ -57,7 +68,7 @@
     {
         for (const std::string status : {"000", "001", "099", "600", "999"}) {
             for (const std::string &body : kFramedBodies)
-                checkRefused("HTTP/1.1 " + status + " X\r\n" + kOwnFields + body, true);
+                checkRefused(joined({"HTTP/1.1 ", status, " X\r\n", kOwnFields, body}), true);
         }
     }
 
@@ -65,8 +76,8 @@
     {
         for (const std::string status : {"000", "001", "099", "600", "999"}) {
             for (const std::string &body : kFramedBodies)
-                checkRefused("HTTP/1.1 " + status + " X\r\n" + kOwnFields + body + kSoundAnswer,
-                             false);
+                checkRefused(
+                    joined({"HTTP/1.1 ", status, " X\r\n", kOwnFields, body, kSoundAnswer}), false);
         }
     }
 
@@ -82,7 +93,7 @@
             for (const std::string body :
                  {"Content-Length: 6\r\n\r\nforged",
                   "Transfer-Encoding: chunked\r\n\r\n6\r\nforged\r\n0\r\n\r\n"})
-                checkRefused("HTTP/1.1 " + status + " X\r\n" + body + kSoundAnswer, false);
+                checkRefused(joined({"HTTP/1.1 ", status, " X\r\n", body, kSoundAnswer}), false);
         }
     }
 
@@ -114,7 +125,7 @@
               "Content-Length: 5", "Content-Encoding: identity", "X-Replica-Load: 1,0,8",
               "Connection: close", "Retry-After: 1"}) {
             for (const std::string fold : {" X-Stage: v", "\tX-Stage: v", " : v", " ", "\t", "  v"})
-                checkLine(before + "\r\n" + fold);
+                checkLine(joined({before, "\r\n", fold}));
         }
     }
 
@@ -151,8 +162,8 @@
               "HTTP/1.1 101 X\r\n", "HTTP/1.1 200 OK\r\nX A: v\r\n",
               "HTTP/1.1 200 OK\r\nX-A: v\r\n X-B: v\r\n"}) {
             for (const std::string &body : kFramedBodies) {
-                checkCallFails(start + body, true);
-                checkCallFails(start + body + kSoundAnswer, false);
+                checkCallFails(joined({start, body}), true);
+                checkCallFails(joined({start, body, kSoundAnswer}), false);
             }
         }
     }
@@ -203,8 +214,8 @@
     {
         for (const std::string path : {"/once/x", "/again/x", "/stream/x"}) {
             const RawCaller::Response response = answerTo(path, bytes, closes);
-            const std::string what = path + " got " + std::to_string(response.head.status) + " \""
-                + response.body + "\" for " + bytes;
+            const std::string what = joined({path, " got ", std::to_string(response.head.status),
+                                             " \"", response.body, "\" for ", bytes});
             CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 502U, response.head.status);
             CPPUNIT_ASSERT_MESSAGE(what, response.body.find("forged") == std::string::npos);
             CPPUNIT_ASSERT_MESSAGE(what, !response.head.find("X-Response-Signature"));
