A failed write ends an answer also while more of the request waits behind it

Seen on reading the change again: an answer without a length whose server ends its side and resets during the upload would have waited until the request's time limit instead of failing at once, if the first write of the request had not been done when the body was added.

Cause: asked for the writer's backlog before it asked whether a write had failed. Bytes that wait behind a failed write stay in the backlog, and the writer never reports again.

Change: the failure is asked for first. The server's branch that no request reached is gone from connectionWhoseUploadBrokeIsNotReused.

--- a/src/traffic/backendconnection.cpp
+++ b/src/traffic/backendconnection.cpp
@@ -233,18 +233,17 @@
 
 void BackendConnection::finishOnceWritten()
 {
-    if (m_writer.backlog() > 0) {
+    if (m_writer.isBroken()) {
+        fail(BreakKind::Closed);
+    } else if (m_writer.backlog() == 0) {
+        finishResponse();
+    } else {
         // A server that still reads takes the rest of the request; one that has left resets.
         m_writer.onDrained([this](bool) {
             if (m_isOpen && m_listener)
                 finishOnceWritten();
         });
-        return;
     }
-    if (m_writer.isBroken())
-        fail(BreakKind::Closed);
-    else
-        finishResponse();
 }
 
 void BackendConnection::updateAccount()
--- a/tests/traffic/brokenuploadtest.cpp
+++ b/tests/traffic/brokenuploadtest.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(wholeAnswerWithALengthBeforeAResetIsDelivered);
     CPPUNIT_TEST(wholeAnswerIsDeliveredIfTheServerReadsOn);
     CPPUNIT_TEST(wholeAnswerAfterTheUploadIsDelivered);
+    CPPUNIT_TEST(partBeforeAResetIsNoAnswerWhileMoreOfTheRequestWaits);
     CPPUNIT_TEST(connectionWhoseUploadBrokeIsNotReused);
     CPPUNIT_TEST(callerOfTestsTakesNoPartBeforeAResetForAnAnswer);
     CPPUNIT_TEST_SUITE_END();
@@ -161,13 +162,26 @@
         }
     }
 
+    /// The first write of the request is not done when the next one is added.
+    void partBeforeAResetIsNoAnswerWhileMoreOfTheRequestWaits()
+    {
+        const std::string rest(kStreamedPart, 'y');
+        ScriptedServer server(m_loop, partThenBreak("part", Break::EndThenReset));
+        server.actOnHeads();
+        const BackendPool::Connection connection =
+            m_pool.take("e0", {boost::asio::ip::address_v4::loopback(), server.port()}, now());
+        KeptAnswer answer(*connection);
+        connection->send("POST /1 HTTP/1.1\r\nX-Request-Id: r1\r\nContent-Length: "
+                             + std::to_string(kUploadBytes + rest.size()) + "\r\n\r\n"
+                             + std::string(kUploadBytes, 'x'),
+                         std::make_shared<const std::string>(rest), false, &answer);
+        CPPUNIT_ASSERT(runUntil(m_loop, [&] { return answer.hasEnded; }));
+        CPPUNIT_ASSERT(answer.isBroken);
+    }
+
     void connectionWhoseUploadBrokeIsNotReused()
     {
         ScriptedServer server(m_loop, [&](ServerConnection &connection, const Request &request) {
-            if (request.head.method != "POST") {
-                connection.answer(request, "next");
-                return;
-            }
             connection.stopReading();
             connection.answer(request, "early");
             breakOff(connection, Break::ResetLater);
@@ -218,10 +232,11 @@
             hasEnded = true;
             wasReusable = m_connection.isReusable();
         }
-        void onBroken(BreakKind) override { hasEnded = true; }
+        void onBroken(BreakKind) override { hasEnded = isBroken = true; }
 
         std::string body;
         bool hasEnded = false;
+        bool isBroken = false;
         bool wasReusable = false;
 
     private:
