--- a/review/standins-3/fleet.cpp
+++ b/review/standins-3/fleet.cpp
@@ -47,12 +47,17 @@
     m_file << elapsedMs() << " ms  " << text << std::endl;
 }
 
-Router::Router(RouterSettings routerSettings, std::string ip, std::vector<std::string> seeds,
-               std::string store, std::string folder)
+Router::Router(boost::asio::io_context &loop, RouterSettings routerSettings, std::string ip,
+               std::vector<std::string> seeds, const std::string &store, std::string folder)
     : settings(std::move(routerSettings)), m_ip(std::move(ip)), m_seeds(std::move(seeds)),
-      m_store(std::move(store)), m_folder(std::move(folder))
+      m_storePath(loop, store), m_folder(std::move(folder))
 { }
 
+void Router::cutFromStore(bool isCut)
+{
+    m_storePath.setFault(isCut ? soak::PathFault::Silent : soak::PathFault::None);
+}
+
 Router::~Router()
 {
     if (m_pid <= 0)
@@ -93,7 +98,7 @@
              << "rollback_slack_ms = 250\nskew_max_ms = 5000\nstrict_revoke = false\n"
              << "revoke_ms = 5000\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n"
              << "retry_budget_slack = 52\nrecovery_s = 12\npass_ms = 120\nretry_after_s = 10\n"
-             << "cap_factor = 2\n[platform]\naddress = " << quoted(m_store)
+             << "cap_factor = 2\n[platform]\naddress = " << quoted(m_storePath.address())
              << "\nform = \"log\"\nwrites_per_s = 400\nreads_per_s = 2000\nparts = 12\n"
              << "append_ms = 2.0\npartition_mb_s = 20.0\nread_mb_s = 80.0\n"
              << "record_bytes = 262144\ncall_bytes = 2097152\nkeep_s = 300\npart_mb = 200\n"
@@ -231,7 +236,7 @@
                                             network + "5:8229"};
     int host = 0;
     for (const auto &[name, zone] : machines)
-        routers.push_back(std::make_unique<Router>(RouterSettings{name, zone},
+        routers.push_back(std::make_unique<Router>(loop, RouterSettings{name, zone},
                                                    network + std::to_string(++host), seeds,
                                                    store.address(), m_folder));
     tickStore();
--- a/review/standins-3/fleet.h
+++ b/review/standins-3/fleet.h
@@ -14,6 +14,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "faultypath.h"
 #include "loopback.h"
 #include "standinstore.h"
 
@@ -47,14 +48,16 @@
 class Router
 {
 public:
-    Router(RouterSettings settings, std::string ip, std::vector<std::string> seeds,
-           std::string store, std::string folder);
+    Router(boost::asio::io_context &loop, RouterSettings settings, std::string ip,
+           std::vector<std::string> seeds, const std::string &store, std::string folder);
     ~Router();
     Router(const Router &) = delete;
     Router &operator=(const Router &) = delete;
 
     /// Writes the settings file and starts the program.
     void start();
+    /// The process's way to the store is silent in both directions, or sound again.
+    void cutFromStore(bool isCut);
     void signal(int number);
     /// True if the process has ended.
     bool hasEnded();
@@ -73,7 +76,7 @@
 
     std::string m_ip;
     std::vector<std::string> m_seeds;
-    std::string m_store;
+    soak::FaultyPath m_storePath;
     std::string m_folder;
     pid_t m_pid = 0; ///< 0 while it does not run.
     int m_lastEnd = 0;
