FleetSync polls and answers through abstract interfaces

CallSender is what HttpCaller implements, Responder what CallerConnection does, and FleetSync::onPoll takes the latter. No behaviour changes. Tests can now run several FleetSync under scripted time without sockets, where the order of events between routers decides.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -212,7 +212,7 @@
 
 } // namespace
 
-FleetSync::FleetSync(HttpCaller &caller, RecordFeed &feed, EventLog &log,
+FleetSync::FleetSync(CallSender &caller, RecordFeed &feed, EventLog &log,
                      std::function<TimePoint()> clock, FleetSyncSettings settings,
                      FleetSyncListener &listener)
     : m_caller(caller), m_feed(feed), m_log(log), m_clock(std::move(clock)),
@@ -261,13 +261,13 @@
 void FleetSync::tick(TimePoint now)
 {
     for (auto waiting = m_waitingPolls.begin(); waiting != m_waitingPolls.end();) {
-        const auto caller = waiting->caller.lock();
-        if (caller && caller->isOpen() && now < waiting->answerBy) {
+        const auto responder = waiting->responder.lock();
+        if (responder && responder->isOpen() && now < waiting->answerBy) {
             ++waiting;
             continue;
         }
-        if (caller && caller->isOpen())
-            answerPoll(*caller, waiting->poll);
+        if (responder && responder->isOpen())
+            answerPoll(*responder, waiting->poll);
         waiting = m_waitingPolls.erase(waiting);
     }
     if (!m_stopping)
@@ -396,7 +396,7 @@
     toWire(countsForPoll(m_servers, m_listener.localRequests(), router, purpose, now),
            poll.requests);
     toWire(countsForPoll(m_prompts, m_listener.localPrompts(), router, purpose, now), poll.prompts);
-    HttpCaller::Call call;
+    CallSender::Call call;
     call.to = *endpoint;
     call.method = "POST";
     call.target = "/news";
@@ -578,11 +578,16 @@
 
 void FleetSync::onRequest(const std::shared_ptr<CallerConnection> &caller, HttpHead,
                           std::string body)
+{
+    onPoll(caller, body);
+}
+
+void FleetSync::onPoll(const std::shared_ptr<Responder> &responder, const std::string &body)
 {
     const TimePoint now = m_clock();
     auto poll = decodeFlatBuffer<wire::NewsAsk>(body);
     if (!poll) {
-        caller->respond(400, {{"Content-Type", "text/plain"}}, "the body is no NewsAsk\n", true);
+        responder->respond(400, {{"Content-Type", "text/plain"}}, "the body is no NewsAsk\n", true);
         return;
     }
     const RouterInfo requester{poll->router, ZoneId(poll->zone), poll->address, poll->standing};
@@ -601,14 +606,14 @@
     applyUnstoredRecords(*poll);
     const bool hasUpdates = poll->source != m_startId || poll->since < m_feed.number();
     if (hasUpdates || poll->holdMs == 0 || m_stopping || !isFreshForFollowers(now)) {
-        answerPoll(*caller, *poll);
+        answerPoll(*responder, *poll);
         return;
     }
     const Duration hold = std::min(milliseconds(poll->holdMs), milliseconds(5000));
-    m_waitingPolls.push_back({caller, std::move(*poll), now + hold});
+    m_waitingPolls.push_back({responder, std::move(*poll), now + hold});
 }
 
-void FleetSync::answerPoll(CallerConnection &caller, const wire::NewsAskT &poll)
+void FleetSync::answerPoll(Responder &responder, const wire::NewsAskT &poll)
 {
     const TimePoint now = m_clock();
     wire::NewsAnswerT updates;
@@ -629,8 +634,8 @@
         toWire(countsForAnswer(m_servers, m_listener.localRequests(), poll, now), updates.requests);
         toWire(countsForAnswer(m_prompts, m_listener.localPrompts(), poll, now), updates.prompts);
     }
-    caller.respond(200, {{"Content-Type", "application/octet-stream"}},
-                   encodeFlatBuffer<wire::NewsAnswer>(updates));
+    responder.respond(200, {{"Content-Type", "application/octet-stream"}},
+                      encodeFlatBuffer<wire::NewsAnswer>(updates), false);
 }
 
 std::vector<std::unique_ptr<wire::NewsRecordT>>
@@ -691,9 +696,9 @@
 {
     std::list<WaitingPoll> waiting = std::exchange(m_waitingPolls, {});
     for (const WaitingPoll &waitingPoll : waiting) {
-        const auto caller = waitingPoll.caller.lock();
-        if (caller && caller->isOpen())
-            answerPoll(*caller, waitingPoll.poll);
+        const auto responder = waitingPoll.responder.lock();
+        if (responder && responder->isOpen())
+            answerPoll(*responder, waitingPoll.poll);
     }
 }
 
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -57,7 +57,7 @@
 class FleetSync : public RequestHandler
 {
 public:
-    FleetSync(HttpCaller &caller, RecordFeed &feed, EventLog &log, std::function<TimePoint()> clock,
+    FleetSync(CallSender &caller, RecordFeed &feed, EventLog &log, std::function<TimePoint()> clock,
               FleetSyncSettings settings, FleetSyncListener &listener);
 
     /// Answers polls whose hold time ended and sends the polls that are due. To be called
@@ -91,6 +91,8 @@
     /// Receives a poll of another router.
     void onRequest(const std::shared_ptr<CallerConnection> &caller, HttpHead head,
                    std::string body) override;
+    /// The same, with the connection to answer through.
+    void onPoll(const std::shared_ptr<Responder> &responder, const std::string &body);
     const CallerLimits &limits() const override { return m_limits; }
     bool isStopping() const override { return false; }
 
@@ -109,7 +111,7 @@
     /// A long poll that is held until there are updates.
     struct WaitingPoll
     {
-        std::weak_ptr<CallerConnection> caller;
+        std::weak_ptr<Responder> responder;
         wire::NewsAskT poll;
         TimePoint answerBy;
     };
@@ -144,7 +146,7 @@
     void applyUnstoredRecords(wire::NewsAskT &poll);
     void applyCounts(const RouterInfo &router, PollPurpose purpose,
                      const wire::NewsAnswerT &updates, TimePoint now);
-    void answerPoll(CallerConnection &caller, const wire::NewsAskT &poll);
+    void answerPoll(Responder &responder, const wire::NewsAskT &poll);
     void addRecords(wire::NewsAnswerT &updates, const wire::NewsAskT &poll);
     void registerRouter(const RouterInfo &router, std::uint64_t startedAtMs);
     bool hasFreshUpdates(TimePoint now) const;
@@ -184,7 +186,7 @@
     /// Records of topics that are not in the store, changed after the change `since`.
     std::vector<std::unique_ptr<wire::NewsRecordT>> unstoredRecords(std::uint64_t since) const;
 
-    HttpCaller &m_caller;
+    CallSender &m_caller;
     RecordFeed &m_feed;
     EventLog &m_log;
     std::function<TimePoint()> m_clock;
--- a/src/traffic/callerconnection.h
+++ b/src/traffic/callerconnection.h
@@ -71,7 +71,20 @@
     virtual void onCallerDrained() = 0;
 };
 
-class CallerConnection : public std::enable_shared_from_this<CallerConnection>, private CallerShare
+/// Where a request is answered as a whole. Tests replace it to run without a network.
+class Responder
+{
+public:
+    virtual ~Responder() = default;
+    virtual bool isOpen() const = 0;
+    /// A whole response. `closes` ends the connection after it.
+    virtual void respond(unsigned status, std::vector<HttpField> fields, std::string_view body,
+                         bool closes) = 0;
+};
+
+class CallerConnection : public std::enable_shared_from_this<CallerConnection>,
+                         public Responder,
+                         private CallerShare
 {
 public:
     using Socket = boost::asio::ip::tcp::socket;
@@ -82,9 +95,8 @@
     /// Null ends the watch. The watcher must live until then, or until its onCallerGone().
     void watch(CallerWatcher *watcher) { m_watcher = watcher; }
 
-    /// A whole response. `closes` ends the connection after it.
     void respond(unsigned status, std::vector<HttpField> fields, std::string_view body,
-                 bool closes = false);
+                 bool closes = false) override;
     /// Begins a response whose body follows; without a length it goes out in chunks.
     void startResponse(const HttpHead &head);
     void writeBody(std::string_view bytes);
@@ -99,7 +111,7 @@
     void holdAnswer(std::size_t bytes);
     /// True if little may be held of the answer, since memory is short.
     bool isMemoryTight() const { return account() && account()->isTight(); }
-    bool isOpen() const { return m_isOpen; }
+    bool isOpen() const override { return m_isOpen; }
     /// True between two requests, with the last answer taken and nothing of the next request read.
     bool isIdle() const
     {
--- a/src/traffic/httpcall.h
+++ b/src/traffic/httpcall.h
@@ -23,13 +23,13 @@
     bool wasSent = false; ///< Without an answer: the call may have reached the server.
 };
 
-class HttpCaller
+/// Makes calls. Tests replace it to run without a network.
+class CallSender
 {
 public:
     using Handler = std::function<void(CallAnswer)>;
 
-    HttpCaller(boost::asio::io_context &loop, const BackendConnectionLimits &limits,
-               std::function<TimePoint()> clock);
+    virtual ~CallSender() = default;
 
     struct Call
     {
@@ -44,7 +44,17 @@
         std::size_t maxAnswerBytes = std::size_t{8} << 20;
     };
 
-    void start(Call call, Handler handler);
+    virtual void start(Call call, Handler handler) = 0;
+};
+
+/// Makes calls over HTTP connections.
+class HttpCaller : public CallSender
+{
+public:
+    HttpCaller(boost::asio::io_context &loop, const BackendConnectionLimits &limits,
+               std::function<TimePoint()> clock);
+
+    void start(Call call, Handler handler) override;
     void sweep(TimePoint now) { m_pool.sweep(now); }
 
 private:
