The age of the store's confirmation decides when a router reads the store

Seen: a configuration was in force up to 2.2 s after its acknowledgement at routers that were sound all the while (config_apply_ms 2,000), as the router that reads the store was cut off from it silently and the next one froze.

Cause: a router counted as up to date by the time of an answer that said "fresh", not by the time up to which the store had confirmed what the answer held. The reader's silence was passed on as fresh until it gave its read up (1.8 s: just after an outage a read that is held for 300 ms gets 1,500 ms more), then came the wait for the successor (400 ms), and each follower's own 900 ms began only with the last "fresh" answer. Nothing held the sum against the bound.

Change: each answer to a poll carries the last moment for which the store confirmed the records, relative to the poll's arrival. A read of the log confirms only its start, or the end of its hold if it was held to the end; holds become shorter so that the age stays within one hold.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -2,6 +2,7 @@
 #include "gateway/fleetsync.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "gateway/flatbuffercodec.h"
 #include "routers/valuedelta.h"
@@ -37,8 +38,6 @@
     milliseconds(600); ///< Between two parts of a long answer on a busy link.
 constexpr Duration kFirstUpdatesTimeout =
     milliseconds(1500); ///< All records take longer than later updates on a slow link.
-constexpr Duration kUpdatesLifetime =
-    milliseconds(900); ///< Without newer updates, a router then reads the store itself.
 /// The store may refuse single routers for seconds and serve others. A router whose reads fail
 /// follows another router until this delay ends.
 constexpr Duration kMinStoreRetryDelay = milliseconds(300);
@@ -46,9 +45,8 @@
 /// Greater ages of a record are sent as this one, since they make no difference.
 constexpr std::int64_t kMaxRecordAgeMs = 1000000000;
 constexpr Duration kMinLongPoll = milliseconds(150);
-constexpr Duration kMaxLongPoll =
-    milliseconds(600); ///< With the answer's travel time well below kUpdatesLifetime.
-static_assert(kMaxLongPoll * 4 / 3 < kUpdatesLifetime);
+/// Of an answer whose router's records the store never confirmed.
+constexpr std::int32_t kUnconfirmedMs = std::numeric_limits<std::int32_t>::min();
 constexpr std::int64_t kMaxAnswerBytesPerSecond =
     500000; ///< Sent by the leader of a zone to its followers: 4 Mbit/s.
 /// Counts are sent to a router again after this percentage of the hold time. Answers to polls with
@@ -138,6 +136,17 @@
     return wireRecord;
 }
 
+/// The moment of a confirmation for the wire, from the arrival of a poll on.
+std::int32_t confirmedMs(TimePoint confirmedAt, TimePoint receivedAt)
+{
+    if (confirmedAt == TimePoint::min())
+        return kUnconfirmedMs;
+    const auto difference =
+        std::chrono::floor<std::chrono::milliseconds>(confirmedAt - receivedAt).count();
+    return static_cast<std::int32_t>(std::clamp<std::int64_t>(
+        difference, kUnconfirmedMs + 1, std::numeric_limits<std::int32_t>::max()));
+}
+
 /// `hasAllRecords` means that the records of the answer name all keys.
 std::unique_ptr<wire::TopicKeysT> toWire(const CompleteList &list, bool hasAllRecords,
                                          TimePoint now)
@@ -216,7 +225,8 @@
                      std::function<TimePoint()> clock, FleetSyncSettings settings,
                      FleetSyncListener &listener)
     : m_caller(caller), m_feed(feed), m_log(log), m_clock(std::move(clock)),
-      m_settings(std::move(settings)), m_listener(listener), m_directory(m_settings.self),
+      m_settings(std::move(settings)), m_staleness(m_settings.applyLimit), m_listener(listener),
+      m_directory(m_settings.self),
       m_startId(static_cast<std::uint64_t>(m_clock().time_since_epoch().count())),
       m_startedAt(m_clock())
 {
@@ -232,21 +242,21 @@
     m_directory.add(router);
 }
 
-bool FleetSync::hasFreshUpdates(TimePoint now) const
-{
-    return m_freshUpdatesAt != TimePoint::min() && now - m_freshUpdatesAt < kUpdatesLifetime;
-}
-
 bool FleetSync::isFresh(TimePoint now) const
 {
-    return (m_readsStore && m_storeState == StoreState::Readable) || hasFreshUpdates(now);
+    const Duration age = m_staleness.outdatedAge();
+    return (m_readsStore && m_storeState == StoreState::Readable
+            && isYounger(m_storeConfirmedAt, age, now))
+        || hasFreshUpdates(age, now);
 }
 
 bool FleetSync::isFreshForFollowers(TimePoint now) const
 {
-    if (m_readsStore && m_storeState == StoreState::Readable)
+    if (m_readsStore && m_storeState == StoreState::Readable
+        && isYounger(m_storeConfirmedAt, m_staleness.staleReaderAge(), now))
         return true;
-    return m_upstream && m_directory.isPreferredOverSelf(*m_upstream) && hasFreshUpdates(now);
+    return m_upstream && m_directory.isPreferredOverSelf(*m_upstream)
+        && hasFreshUpdates(m_staleness.leaderReadAge(), now);
 }
 
 Duration FleetSync::longPollTime() const
@@ -255,11 +265,16 @@
     const Duration byPollRate = milliseconds(1000 * routers / kMaxPollsPerSecond);
     const Duration byLinkRate =
         milliseconds(1000 * routers * m_emptyAnswerBytes / kMaxAnswerBytesPerSecond);
-    return std::clamp(std::max(byPollRate, byLinkRate), kMinLongPoll, kMaxLongPoll);
+    const Duration longest = m_staleness.routerHold();
+    return std::clamp(std::max(byPollRate, byLinkRate), std::min(kMinLongPoll, longest), longest);
 }
 
 void FleetSync::tick(TimePoint now)
 {
+    // Followers learn at once that this router is stale and choose another one.
+    const bool wasFresh = std::exchange(m_wasFreshForFollowers, isFreshForFollowers(now));
+    if (wasFresh && !m_wasFreshForFollowers)
+        publish();
     for (auto waiting = m_waitingPolls.begin(); waiting != m_waitingPolls.end();) {
         const auto responder = waiting->responder.lock();
         if (responder && responder->isOpen() && now < waiting->answerBy) {
@@ -267,7 +282,7 @@
             continue;
         }
         if (responder && responder->isOpen())
-            answerPoll(*responder, waiting->poll);
+            answerPoll(*responder, waiting->poll, waiting->receivedAt);
         waiting = m_waitingPolls.erase(waiting);
     }
     if (!m_stopping)
@@ -302,15 +317,19 @@
     const auto preferred = isZoneLeader ? m_directory.preferredRemoteLeader(now) : leader;
     if (preferred && (!m_upstream || m_upstream->address != preferred->address))
         sendPoll(*preferred, PollPurpose::Probe, now);
+    // Routers that follow this one wait for it, so it reads first.
+    const Duration readAge = isZoneLeader ? m_staleness.leaderReadAge() : m_staleness.readAge();
+    const bool areUpdatesFresh = hasFreshUpdates(readAge, now);
     // The upstream router is kept until this router's reads of the store succeed.
-    if (!preferred && (m_storeState == StoreState::Readable || !hasFreshUpdates(now)))
+    if (!preferred && (m_storeState == StoreState::Readable || !areUpdatesFresh))
         m_upstream.reset();
     if (m_upstream)
         sendPoll(*m_upstream, PollPurpose::Follow, now);
-    const bool areUpdatesFresh = hasFreshUpdates(now);
+    const bool awaitsFirstUpdates = m_upstream && confirmedAt() == TimePoint::min()
+        && now - m_upstreamSince < kFirstUpdatesTimeout;
     if (isZoneLeader && !preferred)
         setReadsStore(true, now, "this router is the leader of the fleet");
-    else if (!areUpdatesFresh && !(m_upstream && now - m_upstreamSince < kFirstUpdatesTimeout))
+    else if (!areUpdatesFresh && !awaitsFirstUpdates)
         setReadsStore(true, now, "no preferred router has fresh updates");
     else if (m_upstream && areUpdatesFresh)
         setReadsStore(false, now, "another router reads the store");
@@ -334,8 +353,7 @@
         LogLine(m_log, "predecessor-asked", now)
             .add("router", fallback.name)
             .add("reason", "no router has fresh updates")
-            .add("last_fresh",
-                 m_freshUpdatesAt == TimePoint::min() ? Duration(0) : now - m_freshUpdatesAt);
+            .add("confirmed_before", confirmationAge(now));
     }
     sendPoll(fallback, PollPurpose::Follow, now);
 }
@@ -348,6 +366,7 @@
     m_storeState = StoreState::Unknown;
     LogLine(m_log, reads ? "store-reading-begun" : "store-reading-ended", now)
         .add("reason", reason)
+        .add("confirmed_before", confirmationAge(now))
         .add("follows", m_upstream ? std::string_view(m_upstream->name) : std::string_view("none"));
 }
 
@@ -386,7 +405,7 @@
     poll.standing = m_settings.self.capacityTier;
     poll.noRecords = purpose == PollPurpose::Probe;
     const bool isSameZone = router.zone == m_settings.self.zone;
-    const Duration defaultHold = isSameZone ? longPollTime() : kExchangeInterval;
+    const Duration defaultHold = isSameZone ? longPollTime() : m_staleness.zoneHold();
     const Duration hold = purpose == PollPurpose::Follow ? defaultHold : Duration(0);
     poll.holdMs = static_cast<std::uint32_t>(hold.count() / 1000);
     const bool sendsUnstored = purpose == PollPurpose::Follow || purpose == PollPurpose::Exchange;
@@ -404,32 +423,34 @@
     call.body = encodeFlatBuffer<wire::NewsAsk>(poll);
     call.timeout = hold + kPollAnswerMargin;
     call.progressTimeout = kProgressTimeout;
-    const bool wantsAllTopics = !poll.routersOnly && !poll.noRecords;
+    SentPoll sent{purpose, !poll.routersOnly && !poll.noRecords, std::move(records), now};
     m_caller.start(std::move(call),
-                   [this, router, purpose, wantsAllTopics, records = std::move(records),
-                    sendsUnstored, sentNumber](const CallAnswer &answer) {
+                   [this, router, sent = std::move(sent), sendsUnstored,
+                    sentNumber](const CallAnswer &answer) {
                        // Records of a poll that may be lost are sent again.
                        if (sendsUnstored && answer.status == 200)
                            m_routerStates[router.address].acknowledgedChange = sentNumber;
-                       onPollAnswer(router, purpose, wantsAllTopics ? &records : nullptr, answer);
+                       onPollAnswer(router, sent, answer);
                    });
 }
 
-void FleetSync::onPollAnswer(const RouterInfo &router, PollPurpose purpose,
-                             const RecordPoll *allTopicsPoll, const CallAnswer &answer)
+void FleetSync::onPollAnswer(const RouterInfo &router, const SentPoll &sent,
+                             const CallAnswer &answer)
 {
     const TimePoint now = m_clock();
+    const PollPurpose purpose = sent.purpose;
     m_routerStates[router.address].isPolling = false;
     auto updates =
         answer.status == 200 ? decodeFlatBuffer<wire::NewsAnswer>(answer.body) : std::nullopt;
     const bool isUsable = updates && updates->fresh && !updates->leaving;
+    const bool wasFresh = isFresh(now);
     if (updates && updates->storeInDoubt)
         m_listener.onStoreUnconfirmedReported();
     if (updates && purpose == PollPurpose::Follow && updates->records.empty())
         m_emptyAnswerBytes = static_cast<std::int64_t>(answer.body.size());
     if (updates) {
         if (purpose != PollPurpose::Probe)
-            applyRecords(router, allTopicsPoll, *updates);
+            applyRecords(router, sent, *updates);
         if (!updates->leaving && updates->requestsTold)
             applyCounts(router, purpose, *updates, now);
     }
@@ -455,19 +476,17 @@
             m_upstream.reset();
         }
     }
-    const bool wasFallback = purpose == PollPurpose::Follow && !m_upstream && !isFresh(now);
+    const bool wasFallback = purpose == PollPurpose::Follow && !m_upstream && !wasFresh;
     if (isUsable && !isFollowed && (purpose == PollPurpose::Probe || wasFallback)) {
         m_upstream = router;
         m_upstreamSince = now;
         LogLine(m_log, "router-followed", now).add("router", router.name);
     }
-    if (isUsable && purpose == PollPurpose::Follow && (isFollowed || wasFallback))
-        m_freshUpdatesAt = now;
     if (!m_stopping && purpose != PollPurpose::Exchange)
         updateUpstream(now);
 }
 
-void FleetSync::applyRecords(const RouterInfo &router, const RecordPoll *allTopicsPoll,
+void FleetSync::applyRecords(const RouterInfo &router, const SentPoll &sent,
                              wire::NewsAnswerT &updates)
 {
     const TimePoint now = m_clock();
@@ -491,8 +510,11 @@
         received.records.push_back(std::move(*record));
     }
     bool changed = false;
-    if (allTopicsPoll) {
-        changed = state.allTopics.apply(m_feed, *allTopicsPoll, std::move(received));
+    if (sent.wantsAllTopics) {
+        const bool isComplete = received.isComplete;
+        changed = state.allTopics.apply(m_feed, sent.records, std::move(received));
+        if (isComplete)
+            applyConfirmation(sent, updates);
     } else {
         for (FeedRecord &record : received.records)
             changed = m_feed.put(std::move(record)) || changed;
@@ -503,6 +525,21 @@
     publish();
 }
 
+void FleetSync::applyConfirmation(const SentPoll &sent, const wire::NewsAnswerT &updates)
+{
+    if (updates.confirmedMs == kUnconfirmedMs)
+        return;
+    // The poll arrived after it was sent, so its way can make the confirmation only older.
+    const TimePoint confirmed = sent.sentAt + milliseconds(updates.confirmedMs);
+    if (confirmed <= m_clock())
+        m_upstreamConfirmedAt = std::max(m_upstreamConfirmedAt, confirmed);
+}
+
+Duration FleetSync::confirmationAge(TimePoint now) const
+{
+    return confirmedAt() == TimePoint::min() ? Duration(0) : now - confirmedAt();
+}
+
 void FleetSync::applyUnstoredRecords(wire::NewsAskT &poll)
 {
     bool changed = false;
@@ -606,14 +643,14 @@
     applyUnstoredRecords(*poll);
     const bool hasUpdates = poll->source != m_startId || poll->since < m_feed.number();
     if (hasUpdates || poll->holdMs == 0 || m_stopping || !isFreshForFollowers(now)) {
-        answerPoll(*responder, *poll);
+        answerPoll(*responder, *poll, now);
         return;
     }
     const Duration hold = std::min(milliseconds(poll->holdMs), milliseconds(5000));
-    m_waitingPolls.push_back({responder, std::move(*poll), now + hold});
+    m_waitingPolls.push_back({responder, std::move(*poll), now, now + hold});
 }
 
-void FleetSync::answerPoll(Responder &responder, const wire::NewsAskT &poll)
+void FleetSync::answerPoll(Responder &responder, const wire::NewsAskT &poll, TimePoint receivedAt)
 {
     const TimePoint now = m_clock();
     wire::NewsAnswerT updates;
@@ -624,6 +661,8 @@
     updates.storeInDoubt = m_listener.isStoreUnconfirmed();
     if (!poll.noRecords)
         addRecords(updates, poll);
+    if (!poll.noRecords && !poll.routersOnly)
+        updates.confirmedMs = confirmedMs(confirmedAt(), receivedAt);
     const Duration pause = milliseconds(poll.holdMs) * kCountsIntervalPercent / 100;
     TimePoint &countsSentAt =
         m_countsSentAt.try_emplace(poll.router, TimePoint::min()).first->second;
@@ -698,7 +737,7 @@
     for (const WaitingPoll &waitingPoll : waiting) {
         const auto responder = waitingPoll.responder.lock();
         if (responder && responder->isOpen())
-            answerPoll(*responder, waitingPoll.poll);
+            answerPoll(*responder, waitingPoll.poll, waitingPoll.receivedAt);
     }
 }
 
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -4,6 +4,7 @@
 // itself and exchanges request counts with the zones that do not follow it.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <list>
 #include <map>
@@ -17,6 +18,7 @@
 #include "routers/recordexchange.h"
 #include "routers/recordfeed.h"
 #include "routers/routerdirectory.h"
+#include "routers/stalenesslimits.h"
 #include "telemetry/eventlog.h"
 #include "traffic/callerconnection.h"
 #include "traffic/httpcall.h"
@@ -51,6 +53,7 @@
     /// True if the whole fleet starts and has no callers yet: routers discover each other before
     /// they read the store. Otherwise a router reads the store at once, since callers wait.
     bool isFirstStart = true;
+    Duration applyLimit = milliseconds(2000); ///< Each record of the store is applied within it.
 };
 
 /// Follows other routers and serves the polls of its followers.
@@ -70,14 +73,20 @@
     /// Reports whether reads of the store succeed; to be called while this router reads it.
     void setStoreReadable(bool readable);
 
+    /// Reports up to when the store has confirmed the records that this router read itself.
+    void setStoreConfirmed(TimePoint confirmedAt) { m_storeConfirmedAt = confirmedAt; }
+
     /// True if this router reads the store itself and the reads fail.
     bool storeReadsFail() const { return m_readsStore && m_storeState == StoreState::Unreadable; }
     /// True while this router should read the store itself.
     bool readsStore() const { return m_readsStore; }
     /// True if this router's records are up to date with the store.
     bool isFresh(TimePoint now) const;
+    /// The last moment for which the store confirmed that all its earlier records are here, by
+    /// reads of this router or of others; TimePoint::min() if there was none.
+    TimePoint confirmedAt() const { return std::max(m_storeConfirmedAt, m_upstreamConfirmedAt); }
     /// True if followers may rely on this router's records. Only updates from preferred routers
-    /// count, so that two routers can't confirm each other's stale records.
+    /// count, so that two routers can't follow each other.
     bool isFreshForFollowers(TimePoint now) const;
     /// Rank of this router in its zone's order, from 0.
     std::size_t ownRank() const { return m_directory.ownRank(); }
@@ -113,6 +122,7 @@
     {
         std::weak_ptr<Responder> responder;
         wire::NewsAskT poll;
+        TimePoint receivedAt;
         TimePoint answerBy;
     };
 
@@ -137,19 +147,37 @@
                            PollPurpose purpose, TimePoint now) const;
 
     void sendPoll(const RouterInfo &router, PollPurpose purpose, TimePoint now);
-    /// `allTopicsPoll` is what the poll said if it requested the records of all topics, else null.
-    void onPollAnswer(const RouterInfo &router, PollPurpose purpose,
-                      const RecordPoll *allTopicsPoll, const CallAnswer &answer);
+    /// A poll that was sent.
+    struct SentPoll
+    {
+        PollPurpose purpose;
+        bool wantsAllTopics; ///< It requested the records of all topics.
+        RecordPoll records;
+        TimePoint sentAt;
+    };
+
+    void onPollAnswer(const RouterInfo &router, const SentPoll &sent, const CallAnswer &answer);
     /// Stores the records of an answer in the feed, and up to where the router's changes are known.
-    void applyRecords(const RouterInfo &router, const RecordPoll *allTopicsPoll,
-                      wire::NewsAnswerT &updates);
+    void applyRecords(const RouterInfo &router, const SentPoll &sent, wire::NewsAnswerT &updates);
+    /// Takes over up to when the store has confirmed the records of an answer.
+    void applyConfirmation(const SentPoll &sent, const wire::NewsAnswerT &updates);
     void applyUnstoredRecords(wire::NewsAskT &poll);
     void applyCounts(const RouterInfo &router, PollPurpose purpose,
                      const wire::NewsAnswerT &updates, TimePoint now);
-    void answerPoll(Responder &responder, const wire::NewsAskT &poll);
+    void answerPoll(Responder &responder, const wire::NewsAskT &poll, TimePoint receivedAt);
     void addRecords(wire::NewsAnswerT &updates, const wire::NewsAskT &poll);
     void registerRouter(const RouterInfo &router, std::uint64_t startedAtMs);
-    bool hasFreshUpdates(TimePoint now) const;
+    /// True if other routers' confirmation by the store is younger than `age`.
+    bool hasFreshUpdates(Duration age, TimePoint now) const
+    {
+        return isYounger(m_upstreamConfirmedAt, age, now);
+    }
+    static bool isYounger(TimePoint confirmedAt, Duration age, TimePoint now)
+    {
+        return confirmedAt != TimePoint::min() && now - confirmedAt < age;
+    }
+    /// Age of the confirmation, for logs; 0 if there is none.
+    Duration confirmationAge(TimePoint now) const;
     /// True if another router should lead the zone because this one's reads failed.
     bool shouldAvoidStoreReads(TimePoint now) const
     {
@@ -191,6 +219,7 @@
     EventLog &m_log;
     std::function<TimePoint()> m_clock;
     FleetSyncSettings m_settings;
+    StalenessLimits m_staleness;
     FleetSyncListener &m_listener;
     CallerLimits m_limits;
     RouterDirectory m_directory;
@@ -204,12 +233,14 @@
     std::uint64_t m_startId; ///< Start of this router in microseconds of its clock.
     TimePoint m_startedAt;
     TimePoint m_upstreamSince = TimePoint::min();
-    TimePoint m_freshUpdatesAt = TimePoint::min(); ///< Last fresh updates from another router.
+    TimePoint m_storeConfirmedAt = TimePoint::min();    ///< By this router's own reads.
+    TimePoint m_upstreamConfirmedAt = TimePoint::min(); ///< By other routers' reads.
     TimePoint m_nextExchangeAt = TimePoint::min();
     TimePoint m_nextFallbackPollAt = TimePoint::min();
     std::string m_fallbackName; ///< Last polled fallback; empty while updates are fresh.
     TimePoint m_nextDiscoveryAt = TimePoint::min();
     std::int64_t m_emptyAnswerBytes = 0; ///< Size of the last upstream answer without records.
+    bool m_wasFreshForFollowers = false; ///< At the last tick.
     bool m_readsStore = false;
     StoreState m_storeState = StoreState::Unknown;
     std::uint32_t m_storeFailures =
--- a/src/routers/topicreader.cpp
+++ b/src/routers/topicreader.cpp
@@ -76,6 +76,7 @@
     if (isListCertain()) {
         list.end = m_nextOffset; // The log goes on there.
         m_recheckAt = kNever;
+        m_confirmedAt = std::max(m_confirmedAt, m_listStartedAt);
     } else if (m_listStartedAt - m_oldestClaim.at >= kClaimAge) {
         const bool isNewestOldEnough = m_listStartedAt - m_newestClaim.at >= kClaimAge;
         const Claim next{m_nextOffset, now};
@@ -92,6 +93,19 @@
     updateKnown(now);
 }
 
+Duration TopicReader::logHold(Duration limit, TimePoint now) const
+{
+    if (m_confirmedAt == TimePoint::min())
+        return Duration(0);
+    return std::max(Duration(0), limit - (now - m_confirmedAt));
+}
+
+void TopicReader::startLog(Duration hold, TimePoint now)
+{
+    m_logStartedAt = now;
+    m_logHold = hold;
+}
+
 TopicReader::LogState TopicReader::addLog(std::uint64_t end, std::uint64_t firstKept,
                                           std::vector<FeedRecord> records, TimePoint now)
 {
@@ -104,15 +118,28 @@
         onDropped(firstKept, now);
         return LogState::Gap;
     }
+    const bool isEmpty = records.empty();
     for (FeedRecord &record : records) {
         record.order = m_nextOffset++;
         record.readAt = now;
         m_feed.put(std::move(record), {true});
     }
+    if (m_nextOffset >= end)
+        updateConfirmed(isEmpty, now);
     updateKnown(now);
     return LogState::Continuous;
 }
 
+void TopicReader::updateConfirmed(bool isEmpty, TimePoint now)
+{
+    if (m_logStartedAt == TimePoint::min())
+        return;
+    // An answer without records was made after the hold. It may have been delayed since, so that
+    // its arrival says no more.
+    const TimePoint holdEnd = m_logStartedAt + m_logHold;
+    m_confirmedAt = std::max(m_confirmedAt, isEmpty && now >= holdEnd ? holdEnd : m_logStartedAt);
+}
+
 void TopicReader::onDropped(std::uint64_t firstKept, TimePoint now)
 {
     m_firstKept = firstKept;
--- a/src/routers/topicreader.h
+++ b/src/routers/topicreader.h
@@ -28,7 +28,13 @@
     void startList(TimePoint now);
     /// Takes over a page of the list; true if it was the last one.
     bool addPage(std::vector<FeedRecord> records, bool hasMore, TimePoint now);
-    /// Takes over a read of the log from nextOffset(). `end` and `firstKept` are the store's.
+    /// How long the store may hold a read of the log that begins at `now`, so that the confirmation
+    /// is no older than `limit` when the read ends.
+    Duration logHold(Duration limit, TimePoint now) const;
+    /// A read of the log begins that the store holds for `hold` while there is no new record.
+    void startLog(Duration hold, TimePoint now);
+    /// Takes over the read of the log that began last, from nextOffset(). `end` and `firstKept` are
+    /// the store's.
     LogState addLog(std::uint64_t end, std::uint64_t firstKept, std::vector<FeedRecord> records,
                     TimePoint now);
     /// The store has dropped the records before `firstKept`, also some that were not read.
@@ -37,6 +43,9 @@
     Step nextStep(TimePoint now);
 
     const std::string &topic() const { return m_topic; }
+    /// The last moment for which the store confirmed that all earlier changes are in the feed, also
+    /// if the answer took long; TimePoint::min() if there was none.
+    TimePoint confirmedAt() const { return m_confirmedAt; }
     std::uint64_t nextOffset() const { return m_nextOffset; }
     std::uint64_t firstKept() const { return m_firstKept; }
     int pageCount() const { return m_pageCount; }
@@ -57,6 +66,8 @@
     };
 
     void finishList(TimePoint now);
+    /// The read of the log that began last has shown all records.
+    void updateConfirmed(bool isEmpty, TimePoint now);
     /// Lists again for a while; the lists should reflect the changes below `claimedEnd`.
     void beginRechecks(std::uint64_t claimedEnd, TimePoint now);
     /// States in the feed what a list or a read of the log has made known.
@@ -87,6 +98,9 @@
     /// only the newest, so they can't postpone every claim.
     Claim m_oldestClaim;
     Claim m_newestClaim;
+    TimePoint m_logStartedAt = TimePoint::min(); ///< When the last read of the log began.
+    Duration m_logHold{0};                       ///< Of that read.
+    TimePoint m_confirmedAt = TimePoint::min();
     bool m_hasList = false;
 };
 
--- a/tests/routerupdatestest.cpp
+++ b/tests/routerupdatestest.cpp
@@ -43,6 +43,11 @@
     CPPUNIT_TEST(removalInDoubtIsStatedInItsRecord);
     CPPUNIT_TEST(frequentGapsDoNotPostponeRemovals);
     CPPUNIT_TEST(readerThatStopsDuringTheLastListListsAgain);
+    CPPUNIT_TEST(certainListConfirmsUpToItsStart);
+    CPPUNIT_TEST(logReadConfirmsUpToTheEndOfItsHold);
+    CPPUNIT_TEST(logReadWithRecordsConfirmsUpToItsStart);
+    CPPUNIT_TEST(logReadThatShowsNotAllRecordsConfirmsNothing);
+    CPPUNIT_TEST(holdsBecomeShorterWithTheAgeOfTheConfirmation);
     CPPUNIT_TEST(recordBelowWhatIsKnownIsRefused);
     CPPUNIT_TEST(listIsSentOnceToAFollower);
     CPPUNIT_TEST(changesSinceANumberAreListedOnceInOrder);
@@ -209,6 +214,69 @@
         CPPUNIT_ASSERT(!feed.find("t", "b")->value && !reader.isRechecking());
     }
 
+    void certainListConfirmsUpToItsStart()
+    {
+        RecordFeed feed;
+        TopicReader reader("t", feed);
+        CPPUNIT_ASSERT(reader.confirmedAt() == TimePoint::min());
+        reader.activate(at(100));
+        reader.addPage({{"t", "a", "1", 0}}, true, at(200));
+        CPPUNIT_ASSERT(reader.confirmedAt() == TimePoint::min());
+        reader.addPage({{"t", "b", "1", 1}}, false, at(300));
+        CPPUNIT_ASSERT(reader.confirmedAt() == at(100));
+        reader.onDropped(9, at(400)); // Lists may lag behind the log from now on.
+        reader.addPage({{"t", "a", "1", 0}}, false, at(500));
+        CPPUNIT_ASSERT(reader.confirmedAt() == at(100));
+    }
+
+    /// The answer arrives later than the hold ended, and may have been under way since then.
+    void logReadConfirmsUpToTheEndOfItsHold()
+    {
+        RecordFeed feed;
+        TopicReader reader("t", feed);
+        readAll(reader, {{"t", "a", "1", 0}}, 1, at(0));
+        reader.startLog(milliseconds(700), at(100));
+        reader.addLog(1, 0, {}, at(1300));
+        CPPUNIT_ASSERT(reader.confirmedAt() == at(800));
+        // The store answered before the end of the hold without a reason.
+        reader.startLog(milliseconds(700), at(1300));
+        reader.addLog(1, 0, {}, at(1500));
+        CPPUNIT_ASSERT(reader.confirmedAt() == at(1300));
+    }
+
+    void logReadWithRecordsConfirmsUpToItsStart()
+    {
+        RecordFeed feed;
+        TopicReader reader("t", feed);
+        readAll(reader, {{"t", "a", "1", 0}}, 1, at(0));
+        reader.startLog(milliseconds(700), at(100));
+        reader.addLog(2, 0, {{"t", "b", "1", 1}}, at(900));
+        CPPUNIT_ASSERT(reader.confirmedAt() == at(100));
+    }
+
+    void logReadThatShowsNotAllRecordsConfirmsNothing()
+    {
+        RecordFeed feed;
+        TopicReader reader("t", feed);
+        readAll(reader, {{"t", "a", "1", 0}}, 1, at(0));
+        CPPUNIT_ASSERT(reader.confirmedAt() == at(0));
+        reader.startLog(milliseconds(700), at(100));
+        reader.addLog(3, 0, {{"t", "b", "1", 1}}, at(200));
+        CPPUNIT_ASSERT(reader.confirmedAt() == at(0));
+    }
+
+    void holdsBecomeShorterWithTheAgeOfTheConfirmation()
+    {
+        RecordFeed feed;
+        TopicReader reader("t", feed);
+        CPPUNIT_ASSERT(reader.logHold(milliseconds(700), at(0)) == Duration(0));
+        readAll(reader, {{"t", "a", "1", 0}}, 1, at(0));
+        reader.startLog(Duration(0), at(100));
+        reader.addLog(1, 0, {}, at(110));
+        CPPUNIT_ASSERT(reader.logHold(milliseconds(700), at(300)) == milliseconds(500));
+        CPPUNIT_ASSERT(reader.logHold(milliseconds(700), at(900)) == Duration(0));
+    }
+
     void recordBelowWhatIsKnownIsRefused()
     {
         RecordFeed feed;
--- a/tests/traffic/crashingfleet.h
+++ b/tests/traffic/crashingfleet.h
@@ -46,8 +46,10 @@
 
     void tick()
     {
-        if (sync().readsStore())
+        if (sync().readsStore()) {
             sync().setStoreReadable(true);
+            sync().setStoreConfirmed(now());
+        }
         dispatcher.tick(now());
         gateway.checkServersOfAbandonedRequests();
         const bool hasCrashUpdates = crashUpdates.publish(wallTime(), now());
--- a/tests/traffic/fleetsynctest.cpp
+++ b/tests/traffic/fleetsynctest.cpp
@@ -455,9 +455,12 @@
             if (now() >= next) {
                 next = now() + milliseconds(20);
                 for (const auto &router : m_routers) {
-                    if (router->sync().readsStore())
-                        router->sync().setStoreReadable(!m_isStoreDown
-                                                        && router.get() != m_failingReader);
+                    if (router->sync().readsStore()) {
+                        const bool readable = !m_isStoreDown && router.get() != m_failingReader;
+                        router->sync().setStoreReadable(readable);
+                        if (readable)
+                            router->sync().setStoreConfirmed(now());
+                    }
                     router->sync().tick(now());
                 }
             }
--- /dev/null
+++ b/tests/traffic/updatedelaytest.cpp
@@ -0,0 +1,185 @@
+// Time from a write to the platform's store until every router has it, while routers fail. Runs
+// under scripted time, without a network.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+#include "scriptedfleet.h"
+
+using namespace comfrey;
+using namespace comfrey::test;
+
+namespace {
+
+const std::vector<int> kSmallFleet = {2, 2, 1, 1};
+
+std::string text(Duration duration)
+{
+    return std::to_string(duration.count() / 1000) + " ms";
+}
+
+} // namespace
+
+class UpdateDelayTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(UpdateDelayTest);
+    CPPUNIT_TEST(readerIsCutOffWhileItsSuccessorIsFrozen);
+    CPPUNIT_TEST(storeAnswersTheReaderJustWithinItsTimeout);
+    CPPUNIT_TEST(frozenReaderWakesAndAnswersHeldPolls);
+    CPPUNIT_TEST(anyTwoFaultsDelayNoOtherRouter);
+    CPPUNIT_TEST(onlyOneRouterReadsTheStoreInCalm);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against waits for one router after the other that add up to more than the limit: the
+    /// router that reads the store is silently cut off from it, and the next one does not answer.
+    void readerIsCutOffWhileItsSuccessorIsFrozen()
+    {
+        for (const Duration limit : kLimits) {
+            for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+                std::mt19937_64 random(seed);
+                ScriptedFleet fleet(kSmallFleet, limit, seed);
+                ScriptedRouter &reader = fleet.settle();
+                ScriptedRouter &successor = fleet.successorOf(reader);
+                // Just after an outage the store's reads are given more time.
+                reader.isCutFromStore = seed % 2 == 0;
+                fleet.runFor(milliseconds(1600));
+                reader.isCutFromStore = false;
+                fleet.runFor(milliseconds(5500));
+                fleet.runFor(milliseconds(static_cast<std::int64_t>(random() % 1000)));
+                fleet.store.append();
+                fleet.runFor(milliseconds(20));
+                reader.isCutFromStore = true;
+                successor.freeze();
+                fleet.runFor(milliseconds(20));
+                checkDelay(fleet, {&reader, &successor}, seed);
+            }
+        }
+    }
+
+    /// Guards against a reader that counts as up to date while each of its reads takes almost as
+    /// long as is allowed.
+    void storeAnswersTheReaderJustWithinItsTimeout()
+    {
+        for (const Duration limit : kLimits) {
+            for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+                ScriptedFleet fleet(kSmallFleet, limit, seed);
+                ScriptedRouter &reader = fleet.settle();
+                reader.isCutFromStore = true;
+                fleet.runFor(milliseconds(1600));
+                reader.isCutFromStore = false;
+                fleet.runFor(milliseconds(3000));
+                reader.storeDelay = milliseconds(seed % 2 == 0 ? 1400 : 590);
+                fleet.runFor(milliseconds(static_cast<std::int64_t>(50 * seed)));
+                checkDelay(fleet, {&reader}, seed);
+            }
+        }
+    }
+
+    /// Guards against a router that passes on what it read before it stood still as confirmed now.
+    void frozenReaderWakesAndAnswersHeldPolls()
+    {
+        for (const Duration limit : kLimits) {
+            for (std::int64_t phase = 0; phase < 1500; phase += 50) {
+                ScriptedFleet fleet(kSmallFleet, limit, static_cast<std::uint64_t>(phase));
+                ScriptedRouter &reader = fleet.settle();
+                fleet.runFor(milliseconds(phase));
+                reader.freeze();
+                fleet.runFor(milliseconds(20));
+                const std::size_t record = fleet.store.append();
+                fleet.runFor(milliseconds(100 + phase % 700));
+                reader.wake();
+                fleet.runFor(fleet.applyLimit + milliseconds(500));
+                checkDelayOf(record, fleet, {&reader}, static_cast<std::uint64_t>(phase));
+            }
+        }
+    }
+
+    void anyTwoFaultsDelayNoOtherRouter()
+    {
+        for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+            std::mt19937_64 random(seed);
+            ScriptedFleet fleet(kSmallFleet, kLimits[random() % kLimits.size()], seed);
+            ScriptedRouter *const reader = &fleet.settle();
+            std::vector<const ScriptedRouter *> harmed;
+            for (int fault = 0; fault < 2; ++fault) {
+                fleet.runFor(milliseconds(static_cast<std::int64_t>(random() % 1000)));
+                // Half of the faults concern the reader, on which all depend.
+                ScriptedRouter &router =
+                    random() % 2 == 0 ? *reader : *fleet.routers[random() % fleet.routers.size()];
+                harmed.push_back(&router);
+                harm(router, random() % 4);
+            }
+            fleet.runFor(milliseconds(static_cast<std::int64_t>(random() % 1000)));
+            checkDelay(fleet, harmed, seed);
+        }
+    }
+
+    /// The waits of polls and reads leave the age below that at which a router reads the store.
+    void onlyOneRouterReadsTheStoreInCalm()
+    {
+        for (const Duration limit : kLimits) {
+            for (const std::vector<int> &sizes :
+                 {kSmallFleet, std::vector<int>{8, 8, 7, 7}, std::vector<int>{25, 25, 25, 25}}) {
+                ScriptedFleet fleet(sizes, limit, sizes.size());
+                ScriptedRouter &reader = fleet.settle();
+                const int before = readingsBegun(fleet);
+                for (int round = 0; round < 5; ++round) {
+                    fleet.runFor(milliseconds(1370));
+                    checkDelay(fleet, {}, static_cast<std::uint64_t>(round));
+                }
+                CPPUNIT_ASSERT_EQUAL(before, readingsBegun(fleet));
+                CPPUNIT_ASSERT_EQUAL(&reader, fleet.storeReader());
+            }
+        }
+    }
+
+private:
+    const std::vector<Duration> kLimits = {milliseconds(2000), milliseconds(3000),
+                                           milliseconds(4000)};
+
+    /// Appends a record and checks that all routers but `except` have it in time.
+    static void checkDelay(ScriptedFleet &fleet, const std::vector<const ScriptedRouter *> &except,
+                           std::uint64_t seed)
+    {
+        const std::size_t record = fleet.store.append();
+        fleet.runFor(fleet.applyLimit + milliseconds(500));
+        checkDelayOf(record, fleet, except, seed);
+    }
+
+    static void checkDelayOf(std::size_t record, ScriptedFleet &fleet,
+                             const std::vector<const ScriptedRouter *> &except, std::uint64_t seed)
+    {
+        const Duration longest = fleet.longestDelay(record, except);
+        CPPUNIT_ASSERT_MESSAGE("after " + text(longest) + ", limit " + text(fleet.applyLimit)
+                                   + ", seed " + std::to_string(seed),
+                               longest <= fleet.applyLimit);
+    }
+
+    static void harm(ScriptedRouter &router, std::uint64_t kind)
+    {
+        switch (kind) {
+        case 0:
+            router.freeze();
+            break;
+        case 1:
+            router.isCutFromStore = true;
+            break;
+        case 2:
+            router.isCutFromRouters = true;
+            break;
+        default:
+            router.storeDelay = milliseconds(590);
+        }
+    }
+
+    static int readingsBegun(const ScriptedFleet &fleet)
+    {
+        int count = 0;
+        for (const auto &router : fleet.routers)
+            count += router->storeReadingsBegun;
+        return count;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UpdateDelayTest);
