A stopping router stays up to date until its process ends

Seen: a router that had got SIGTERM resumed streams at servers that had left, 2.8 s and more after the store's acknowledgement (drain_ms 2,000).

Cause: one flag in FleetSync stood for two facts. No other router may rely on a stopping one, from the SIGTERM on; but the router needs no news itself only when its last request has ended. It polled nobody and did not begin to read the store, so for the rest of its grace it retried and resumed with the servers and the configuration that it had at the SIGTERM. Its log has no server-changed after stop-begun, the others' have four.

Change: a leaving router goes on following the others, without leading its zone, and reads the store itself if nobody is left to follow. It says in every answer that it is leaving and never counts as fresh for others, so that it is nobody's upstream.

--- a/src/gateway/fleetsync.cpp
+++ b/src/gateway/fleetsync.cpp
@@ -252,6 +252,8 @@
 
 bool FleetSync::isFreshForFollowers(TimePoint now) const
 {
+    if (m_isLeaving)
+        return false;
     if (m_readsStore && m_storeState == StoreState::Readable
         && isYounger(m_storeConfirmedAt, m_staleness.staleReaderAge(), now))
         return true;
@@ -285,8 +287,7 @@
             answerPoll(*responder, waiting->poll, waiting->receivedAt);
         waiting = m_waitingPolls.erase(waiting);
     }
-    if (!m_stopping)
-        updateUpstream(now);
+    updateUpstream(now);
 }
 
 void FleetSync::updateUpstream(TimePoint now)
@@ -310,8 +311,7 @@
             sendPoll(*leader, PollPurpose::Probe, now);
         return;
     }
-    const auto leader =
-        m_directory.zoneLeader(m_settings.self.zone, shouldAvoidStoreReads(now), now);
+    const auto leader = m_directory.zoneLeader(m_settings.self.zone, !mayLead(now), now);
     const bool isZoneLeader = leader && leader->name == m_settings.self.name;
     // Zone leaders follow the fleet's leader, so that one router reads the store for all zones.
     const auto preferred = isZoneLeader ? m_directory.preferredRemoteLeader(now) : leader;
@@ -482,7 +482,7 @@
         m_upstreamSince = now;
         LogLine(m_log, "router-followed", now).add("router", router.name);
     }
-    if (!m_stopping && purpose != PollPurpose::Exchange)
+    if (purpose != PollPurpose::Exchange)
         updateUpstream(now);
 }
 
@@ -642,7 +642,7 @@
         publish();
     applyUnstoredRecords(*poll);
     const bool hasUpdates = poll->source != m_startId || poll->since < m_feed.number();
-    if (hasUpdates || poll->holdMs == 0 || m_stopping || !isFreshForFollowers(now)) {
+    if (hasUpdates || poll->holdMs == 0 || !isFreshForFollowers(now)) {
         answerPoll(*responder, *poll, now);
         return;
     }
@@ -657,7 +657,7 @@
     updates.source = m_startId;
     updates.number = m_feed.number();
     updates.fresh = isFreshForFollowers(now);
-    updates.leaving = m_stopping;
+    updates.leaving = m_isLeaving;
     updates.storeInDoubt = m_listener.isStoreUnconfirmed();
     if (!poll.noRecords)
         addRecords(updates, poll);
@@ -743,7 +743,7 @@
 
 void FleetSync::stop()
 {
-    m_stopping = true;
+    m_isLeaving = true;
     publish();
 }
 
--- a/src/gateway/fleetsync.h
+++ b/src/gateway/fleetsync.h
@@ -68,7 +68,8 @@
     void tick(TimePoint now);
     /// Answers all held polls at once; to be called when the feed changed by a read of the store.
     void publish();
-    /// Answers every poll from now on with the notice that this router is leaving.
+    /// Answers every poll from now on with the notice that this router is leaving, so that no other
+    /// one relies on it. It stays up to date itself, since its requests go on.
     void stop();
     /// Reports whether reads of the store succeed; to be called while this router reads it.
     void setStoreReadable(bool readable);
@@ -88,6 +89,9 @@
     /// True if followers may rely on this router's records. Only updates from preferred routers
     /// count, so that two routers can't follow each other.
     bool isFreshForFollowers(TimePoint now) const;
+    /// The router that this one follows; none while it reads the store or no router can be
+    /// followed.
+    const std::optional<RouterInfo> &upstream() const { return m_upstream; }
     /// Rank of this router in its zone's order, from 0.
     std::size_t ownRank() const { return m_directory.ownRank(); }
     /// The known routers.
@@ -178,10 +182,11 @@
     }
     /// Age of the confirmation, for logs; 0 if there is none.
     Duration confirmationAge(TimePoint now) const;
-    /// True if another router should lead the zone because this one's reads failed.
-    bool shouldAvoidStoreReads(TimePoint now) const
+    /// False if another router should lead the zone: this one is leaving, or its reads failed.
+    bool mayLead(TimePoint now) const
     {
-        return (m_readsStore && m_storeState == StoreState::Unreadable) || now < m_storeRetryAt;
+        return !m_isLeaving && !(m_readsStore && m_storeState == StoreState::Unreadable)
+            && now >= m_storeRetryAt;
     }
     /// Chooses the router to follow or to read the store, and sends the polls that are due.
     void updateUpstream(TimePoint now);
@@ -246,8 +251,8 @@
     std::uint32_t m_storeFailures =
         0; ///< Times that reads of the store began to fail since they last succeeded.
     TimePoint m_storeRetryAt =
-        TimePoint::min(); ///< Until then another router should lead the zone.
-    bool m_stopping = false;
+        TimePoint::min();     ///< Until then another router should lead the zone.
+    bool m_isLeaving = false; ///< No other router may rely on this one any more.
 };
 
 } // namespace comfrey
--- a/tests/traffic/updatedelaytest.cpp
+++ b/tests/traffic/updatedelaytest.cpp
@@ -2,6 +2,7 @@
 // under scripted time, without a network.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <functional>
 #include <random>
 
 #include "scriptedfleet.h"
@@ -28,6 +29,11 @@
     CPPUNIT_TEST(frozenReaderWakesAndAnswersHeldPolls);
     CPPUNIT_TEST(anyTwoFaultsDelayNoOtherRouter);
     CPPUNIT_TEST(onlyOneRouterReadsTheStoreInCalm);
+    CPPUNIT_TEST(stoppingRouterStaysUpToDate);
+    CPPUNIT_TEST(stoppingReaderStaysUpToDate);
+    CPPUNIT_TEST(allRoutersStopAtOnceAndStayUpToDate);
+    CPPUNIT_TEST(storeIsSilentForAWhileDuringTheStop);
+    CPPUNIT_TEST(stoppingRouterIsNobodysUpstream);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -134,10 +140,104 @@
         }
     }
 
+    /// Guards against a router that hears nothing new from the SIGTERM on, though its requests run
+    /// for seconds and are retried and resumed.
+    void stoppingRouterStaysUpToDate()
+    {
+        forEachLimitAndSeed([this](ScriptedFleet &fleet, ScriptedRouter &reader,
+                                   std::uint64_t seed) {
+            for (const auto &router : fleet.routers) {
+                if (router.get() != &reader && router->name() != fleet.successorOf(reader).name()) {
+                    router->stop();
+                    break;
+                }
+            }
+            checkDelaysForGrace(fleet, seed);
+        });
+    }
+
+    void stoppingReaderStaysUpToDate()
+    {
+        forEachLimitAndSeed(
+            [this](ScriptedFleet &fleet, ScriptedRouter &reader, std::uint64_t seed) {
+                reader.stop();
+                checkDelaysForGrace(fleet, seed);
+            });
+    }
+
+    /// Nobody is left to follow, so each router reads the store itself.
+    void allRoutersStopAtOnceAndStayUpToDate()
+    {
+        forEachLimitAndSeed([this](ScriptedFleet &fleet, ScriptedRouter &, std::uint64_t seed) {
+            for (const auto &router : fleet.routers)
+                router->stop();
+            checkDelaysForGrace(fleet, seed);
+        });
+    }
+
+    void storeIsSilentForAWhileDuringTheStop()
+    {
+        forEachLimitAndSeed(
+            [this](ScriptedFleet &fleet, ScriptedRouter &reader, std::uint64_t seed) {
+                reader.stop();
+                fleet.successorOf(reader).stop();
+                for (const auto &router : fleet.routers)
+                    router->isCutFromStore = true;
+                fleet.runFor(milliseconds(2000));
+                for (const auto &router : fleet.routers)
+                    router->isCutFromStore = false;
+                fleet.runFor(kStableWindow);
+                checkDelay(fleet, {}, seed);
+            });
+    }
+
+    /// Also not while it reads the store itself.
+    void stoppingRouterIsNobodysUpstream()
+    {
+        forEachLimitAndSeed([](ScriptedFleet &fleet, ScriptedRouter &reader, std::uint64_t) {
+            reader.stop();
+            fleet.runFor(milliseconds(200));
+            for (int step = 0; step < 80; ++step) {
+                fleet.runFor(milliseconds(100));
+                for (const auto &router : fleet.routers) {
+                    const auto &upstream = router->sync().upstream();
+                    CPPUNIT_ASSERT(!upstream || upstream->name != reader.name());
+                }
+            }
+        });
+    }
+
 private:
+    static constexpr Duration kStableWindow = milliseconds(3000); // the shortest of the platform
+    static constexpr Duration kGrace = milliseconds(8000);
+
     const std::vector<Duration> kLimits = {milliseconds(2000), milliseconds(3000),
                                            milliseconds(4000)};
 
+    /// Calls `play` with settled fleets and their readers.
+    void forEachLimitAndSeed(
+        const std::function<void(ScriptedFleet &, ScriptedRouter &, std::uint64_t)> &play) const
+    {
+        for (const Duration limit : kLimits) {
+            for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+                ScriptedFleet fleet(kSmallFleet, limit, seed);
+                ScriptedRouter &reader = fleet.settle();
+                fleet.runFor(milliseconds(static_cast<std::int64_t>(37 * seed)));
+                play(fleet, reader, seed);
+            }
+        }
+    }
+
+    /// Checks the delays of records that are appended from now on until the end of a stop.
+    static void checkDelaysForGrace(ScriptedFleet &fleet, std::uint64_t seed)
+    {
+        const TimePoint end = fleet.queue.now() + kGrace;
+        while (fleet.queue.now() < end) {
+            fleet.runFor(milliseconds(130));
+            checkDelay(fleet, {}, seed);
+        }
+    }
+
     /// Appends a record and checks that all routers but `except` have it in time.
     static void checkDelay(ScriptedFleet &fleet, const std::vector<const ScriptedRouter *> &except,
                            std::uint64_t seed)
