Update delays are also checked with an upstream whose answers take long

Not caught: waiting 1,500 ms for the first answer of each new upstream, as the limits of polls end that wait before.

--- a/tests/traffic/scriptedfleet.cpp
+++ b/tests/traffic/scriptedfleet.cpp
@@ -111,8 +111,15 @@
         return isCutFromRouters || m_fleet.find(to)->isCutFromRouters;
     };
     const auto responder =
-        std::make_shared<ScriptedResponder>([this, id, isCut](CallAnswer answer) {
-            m_fleet.queue.after(kRouterDelay, [this, id, isCut, answer = std::move(answer)] {
+        std::make_shared<ScriptedResponder>([this, to, id, isCut](CallAnswer answer) {
+            // The time limit is that of the answer's begin.
+            m_fleet.queue.after(kRouterDelay, [this, id, isCut] {
+                const auto running = m_calls.find(id);
+                if (!isCut() && running != m_calls.end())
+                    running->second.hasBegun = true;
+            });
+            const Duration whole = kRouterDelay + m_fleet.find(to)->answerDuration;
+            m_fleet.queue.after(whole, [this, id, isCut, answer = std::move(answer)] {
                 if (!isCut())
                     perform([this, id, answer] { endCall(id, answer); });
             });
@@ -123,7 +130,11 @@
             m_fleet.find(to)->receive(responder, body);
     });
     m_fleet.queue.after(call.timeout, [this, id] {
-        perform([this, id] { endCall(id, {0, {}, "no answer in time", true}); });
+        perform([this, id] {
+            const auto running = m_calls.find(id);
+            if (running != m_calls.end() && !running->second.hasBegun)
+                endCall(id, {0, {}, "no answer in time", true});
+        });
     });
 }
 
--- a/tests/traffic/scriptedfleet.h
+++ b/tests/traffic/scriptedfleet.h
@@ -82,7 +82,8 @@
 
     bool isCutFromStore = false;
     bool isCutFromRouters = false;
-    Duration storeDelay = milliseconds(0); ///< Added to the store's answers.
+    Duration storeDelay = milliseconds(0);     ///< Added to the store's answers.
+    Duration answerDuration = milliseconds(0); ///< From the begin to the end of its answers.
     int storeReadingsBegun = 0;
     int pollsReceived = 0;
 
@@ -110,6 +111,7 @@
     {
         Handler handler;
         std::shared_ptr<Responder> responder; ///< The connection's other side.
+        bool hasBegun = false;                ///< A part of the answer has arrived.
     };
 
     ScriptedFleet &m_fleet;
--- a/tests/traffic/updatedelaytest.cpp
+++ b/tests/traffic/updatedelaytest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(readerIsCutOffWhileItsSuccessorIsFrozen);
     CPPUNIT_TEST(storeAnswersTheReaderJustWithinItsTimeout);
     CPPUNIT_TEST(frozenReaderWakesAndAnswersHeldPolls);
+    CPPUNIT_TEST(answersOfTheReaderTakeLong);
     CPPUNIT_TEST(anyTwoFaultsDelayNoOtherRouter);
     CPPUNIT_TEST(onlyOneRouterReadsTheStoreInCalm);
     CPPUNIT_TEST(stoppingRouterStaysUpToDate);
@@ -101,6 +102,16 @@
         }
     }
 
+    /// Guards against waits without an end for an upstream whose answers go on, as those to a new
+    /// follower do on a slow link.
+    void answersOfTheReaderTakeLong()
+    {
+        forEachLimitAndSeed([](ScriptedFleet &fleet, ScriptedRouter &reader, std::uint64_t seed) {
+            reader.answerDuration = milliseconds(4000);
+            checkDelay(fleet, {&reader}, seed);
+        });
+    }
+
     void anyTwoFaultsDelayNoOtherRouter()
     {
         for (std::uint64_t seed = 1; seed <= 300; ++seed) {
@@ -114,7 +125,7 @@
                 ScriptedRouter &router =
                     random() % 2 == 0 ? *reader : *fleet.routers[random() % fleet.routers.size()];
                 harmed.push_back(&router);
-                harm(router, random() % 4);
+                harm(router, random() % 5);
             }
             fleet.runFor(milliseconds(static_cast<std::int64_t>(random() % 1000)));
             checkDelay(fleet, harmed, seed);
@@ -268,8 +279,11 @@
         case 2:
             router.isCutFromRouters = true;
             break;
-        default:
+        case 3:
             router.storeDelay = milliseconds(590);
+            break;
+        default:
+            router.answerDuration = milliseconds(4000);
         }
     }
 
