--- a/tests/traffic/scriptedfleet.cpp
+++ b/tests/traffic/scriptedfleet.cpp
@@ -151,10 +151,7 @@
 
 void ScriptedRouter::receive(const std::shared_ptr<Responder> &responder, const std::string &body)
 {
-    perform([this, responder, body] {
-        ++pollsReceived;
-        m_sync.onPoll(responder, body);
-    });
+    perform([this, responder, body] { m_sync.onPoll(responder, body); });
 }
 
 void ScriptedRouter::tick()
--- a/tests/traffic/scriptedfleet.h
+++ b/tests/traffic/scriptedfleet.h
@@ -67,7 +67,6 @@
     /// Stands still; what arrives meanwhile is handled on wake().
     void freeze() { m_isFrozen = true; }
     void wake();
-    bool isFrozen() const { return m_isFrozen; }
     void stop() { m_sync.stop(); }
     /// Handles a poll of another router.
     void receive(const std::shared_ptr<Responder> &responder, const std::string &body);
@@ -85,7 +84,6 @@
     Duration storeDelay = milliseconds(0);     ///< Added to the store's answers.
     Duration answerDuration = milliseconds(0); ///< From the begin to the end of its answers.
     int storeReadingsBegun = 0;
-    int pollsReceived = 0;
 
 private:
     void start(Call call, Handler handler) override;
