--- a/tests/traffic/scriptedfleet.cpp
+++ b/tests/traffic/scriptedfleet.cpp
@@ -69,7 +69,7 @@
     Answer answer{m_appendedAt.size(), {}};
     for (std::uint64_t offset = held.from; offset < m_appendedAt.size(); ++offset)
         answer.records.push_back({kTopic, "k" + std::to_string(offset), "v", offset});
-    held.reply(std::move(answer));
+    held.reply(answer);
 }
 
 ScriptedRouter::ScriptedRouter(ScriptedFleet &fleet, RouterInfo self,
@@ -198,7 +198,7 @@
         if (isCutFromStore)
             return;
         m_fleet.store.read(
-            m_reader.nextOffset(), hold, [this, generation](ScriptedStore::Answer answer) {
+            m_reader.nextOffset(), hold, [this, generation](const ScriptedStore::Answer &answer) {
                 m_fleet.queue.after(kStoreDelay + storeDelay, [this, generation, answer] {
                     if (!isCutFromStore)
                         perform([this, generation, answer] { onReadAnswer(generation, answer); });
--- a/tests/traffic/scriptedfleet.h
+++ b/tests/traffic/scriptedfleet.h
@@ -25,7 +25,7 @@
         std::uint64_t end = 0;
         std::vector<FeedRecord> records;
     };
-    using Reply = std::function<void(Answer)>;
+    using Reply = std::function<void(const Answer &)>;
 
     explicit ScriptedStore(EventQueue &queue) : m_queue(queue) { }
 
--- a/tests/traffic/updatedelaytest.cpp
+++ b/tests/traffic/updatedelaytest.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 const std::vector<int> kSmallFleet = {2, 2, 1, 1};
+const std::vector<Duration> kLimits = {milliseconds(2000), milliseconds(3000), milliseconds(4000)};
 
 std::string text(Duration duration)
 {
@@ -155,8 +156,7 @@
     /// for seconds and are retried and resumed.
     void stoppingRouterStaysUpToDate()
     {
-        forEachLimitAndSeed([this](ScriptedFleet &fleet, ScriptedRouter &reader,
-                                   std::uint64_t seed) {
+        forEachLimitAndSeed([](ScriptedFleet &fleet, ScriptedRouter &reader, std::uint64_t seed) {
             for (const auto &router : fleet.routers) {
                 if (router.get() != &reader && router->name() != fleet.successorOf(reader).name()) {
                     router->stop();
@@ -169,17 +169,16 @@
 
     void stoppingReaderStaysUpToDate()
     {
-        forEachLimitAndSeed(
-            [this](ScriptedFleet &fleet, ScriptedRouter &reader, std::uint64_t seed) {
-                reader.stop();
-                checkDelaysForGrace(fleet, seed);
-            });
+        forEachLimitAndSeed([](ScriptedFleet &fleet, ScriptedRouter &reader, std::uint64_t seed) {
+            reader.stop();
+            checkDelaysForGrace(fleet, seed);
+        });
     }
 
     /// Nobody is left to follow, so each router reads the store itself.
     void allRoutersStopAtOnceAndStayUpToDate()
     {
-        forEachLimitAndSeed([this](ScriptedFleet &fleet, ScriptedRouter &, std::uint64_t seed) {
+        forEachLimitAndSeed([](ScriptedFleet &fleet, ScriptedRouter &, std::uint64_t seed) {
             for (const auto &router : fleet.routers)
                 router->stop();
             checkDelaysForGrace(fleet, seed);
@@ -188,18 +187,17 @@
 
     void storeIsSilentForAWhileDuringTheStop()
     {
-        forEachLimitAndSeed(
-            [this](ScriptedFleet &fleet, ScriptedRouter &reader, std::uint64_t seed) {
-                reader.stop();
-                fleet.successorOf(reader).stop();
-                for (const auto &router : fleet.routers)
-                    router->isCutFromStore = true;
-                fleet.runFor(milliseconds(2000));
-                for (const auto &router : fleet.routers)
-                    router->isCutFromStore = false;
-                fleet.runFor(kStableWindow);
-                checkDelay(fleet, {}, seed);
-            });
+        forEachLimitAndSeed([](ScriptedFleet &fleet, ScriptedRouter &reader, std::uint64_t seed) {
+            reader.stop();
+            fleet.successorOf(reader).stop();
+            for (const auto &router : fleet.routers)
+                router->isCutFromStore = true;
+            fleet.runFor(milliseconds(2000));
+            for (const auto &router : fleet.routers)
+                router->isCutFromStore = false;
+            fleet.runFor(kStableWindow);
+            checkDelay(fleet, {}, seed);
+        });
     }
 
     /// Also not while it reads the store itself.
@@ -222,12 +220,9 @@
     static constexpr Duration kStableWindow = milliseconds(3000); // the shortest of the platform
     static constexpr Duration kGrace = milliseconds(8000);
 
-    const std::vector<Duration> kLimits = {milliseconds(2000), milliseconds(3000),
-                                           milliseconds(4000)};
-
     /// Calls `play` with settled fleets and their readers.
-    void forEachLimitAndSeed(
-        const std::function<void(ScriptedFleet &, ScriptedRouter &, std::uint64_t)> &play) const
+    static void forEachLimitAndSeed(
+        const std::function<void(ScriptedFleet &, ScriptedRouter &, std::uint64_t)> &play)
     {
         for (const Duration limit : kLimits) {
             for (std::uint64_t seed = 1; seed <= 20; ++seed) {
